Log why requests are refused and how connections begin and end

One line of each every 5 s. Without them a refusal for want of quota, of a turn or of time looked the same, and so did a connection closed by the server and one this node gave up.

--- a/control/control.go
+++ b/control/control.go
@@ -94,6 +94,7 @@
 	badIdle      = 1.3   // times the idle time below which it is not
 	badHold      = 0.03  // part from which it does not grow
 	askAgain     = 2 * time.Second
+	reportEvery  = 5 * time.Second // how often the operators' log is told what became of requests
 )
 
 // New makes the controller of one gateway. All randomness comes from seed.
@@ -119,6 +120,7 @@
 
 func (c *Controller) begin() {
 	c.started, c.start = true, c.now
+	c.nextReport = c.now + reportEvery
 	c.nextInterval = c.now + interval
 	c.act(Arm{After: tick, Label: tickLabel})
 }
@@ -218,11 +220,15 @@
 	// taking the units or the turn of others.
 	yields := late || k.Worth < worthLow*c.topWorth
 	scarce := !c.free() || p.Rate > 0 && q.level-q.queued < storeSpare*p.Depth
-	if late && !c.covered(q) || yields && scarce || !c.passes(q, units) {
-		q.refused.add(1)
-		return false
+	c.tally.asked++
+	switch {
+	case late && !c.covered(q) || yields && scarce:
+		c.tally.late++
+	case c.passes(q, units):
+		return true
 	}
-	return true
+	q.refused.add(1)
+	return false
 }
 
 // passes holds a try against the ceiling, the store and the chance. The metered chance decides
@@ -230,6 +236,7 @@
 func (c *Controller) passes(q *customer, units float64) bool {
 	p := q.plan
 	if p.CeilingRate > 0 && q.ceiling-q.queued < units {
+		c.tally.store++
 		return false
 	}
 	if p.Rate > 0 {
@@ -238,6 +245,7 @@
 			return true
 		}
 		if left < storeLow*units {
+			c.tally.store++
 			return false
 		}
 	}
@@ -246,6 +254,7 @@
 		q.carry--
 		return true
 	}
+	c.tally.chance++
 	return false
 }
 
@@ -783,6 +792,7 @@
 		ok = ok && r.class.Effect == Guarded && c.now < r.firstRun+r.class.RepeatWindow
 	}
 	if !ok {
+		c.tally.ended++
 		c.finish(r)
 		return
 	}
@@ -800,12 +810,16 @@
 	} else if r := c.labels[label]; r != nil && r.queued {
 		// Guards against a starved plan that looks punctual: one shed counts as its deadline.
 		r.plan.saw(math.Max(1, r.class.Deadline.Seconds()/r.class.Aim.Seconds()))
+		c.tally.queue++
 		c.finish(r)
 	}
 }
 
 func (c *Controller) onTick() {
 	c.act(Arm{After: tick, Label: tickLabel})
+	if c.now >= c.nextReport {
+		c.report()
+	}
 	if c.set.OnRequest && !c.following && c.now >= c.askAt {
 		c.act(Follow{Active: true})
 		c.askAt = c.now + askAgain
@@ -830,6 +844,7 @@
 	if bad := c.bad / math.Max(1, c.bad+c.answers); late || bad > badCut && slow {
 		if c.cut = true; c.now >= c.cutAt+seconds(2*c.latency) { // answers to sends after the last cut
 			c.cutAt, c.bound = c.now, c.bound*boundDown
+			c.tally.cuts++
 		}
 	} else if bad <= badHold && c.pressed {
 		c.bound *= boundUp
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -129,6 +130,29 @@
 	answers, bad, served float64 // served: units by warm servers
 }
 
+// tally counts, between two lines of the operators' log, why requests were refused. Without it
+// a refusal for want of a turn looks like one for want of quota.
+type tally struct {
+	asked  int // requests that the quota decided on
+	late   int // refused: could only be late, or yields
+	store  int // refused: the customer's store is empty
+	chance int // refused: by the metered chance
+	queue  int // ended: no turn in time
+	ended  int // ended: an attempt failed and no further one was allowed
+	cuts   int // of the bound
+}
+
+// report writes the tally as one line and starts it anew.
+func (c *Controller) report() {
+	c.nextReport = c.now + reportEvery
+	t := c.tally
+	c.act(Remark{Text: fmt.Sprintf("asked=%d late=%d store=%d chance=%d queue=%d ended=%d cuts=%d bound=%.1f"+
+		" inflight=%d latency=%v idle=%v retries=%.1f", t.asked, t.late, t.store, t.chance, t.queue, t.ended, t.cuts,
+		c.bound, c.inflight, seconds(c.latency).Round(time.Millisecond/10), seconds(c.idle).Round(time.Millisecond/10),
+		c.retries)})
+	c.tally = tally{}
+}
+
 // Controller decides for one gateway. It is not safe for concurrent use.
 type Controller struct {
 	set     Settings
@@ -169,6 +193,8 @@
 	law               *shareLaw
 	following         bool
 	askAt             time.Duration
+	nextReport        time.Duration
+	tally             tally
 }
 
 func (c *Controller) binLen() time.Duration {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -42,12 +42,24 @@
 	mu    sync.Mutex
 	idle  map[net.Conn]time.Time // client connections between two requests
 	fresh map[net.Conn]time.Time // those that have not sent a whole head yet
+
+	accepted, evicted, wrong, left atomic.Int64 // for the log, since the node started
+	sockets                        *sockets
+}
+
+// report gives the counts of the clients' side as attributes of a log line.
+func (f *front) report() []any {
+	f.mu.Lock()
+	idle, fresh := len(f.idle), len(f.fresh)
+	f.mu.Unlock()
+	return []any{"accepted", f.accepted.Load(), "evicted", f.evicted.Load(), "wrong", f.wrong.Load(),
+		"left", f.left.Load(), "idle", idle, "fresh", fresh, "sockets", f.sockets.open.Load(), "waits", f.sockets.waits.Load()}
 }
 
 func newFront(s control.Settings, l *loop, socks *sockets) *front {
 	f := &front{loop: l, classes: make(map[string]control.Class), plans: make(map[string]bool),
 		group: s.GroupSize, unitsTop: s.UnitsTop, idle: make(map[net.Conn]time.Time),
-		fresh: make(map[net.Conn]time.Time)}
+		fresh: make(map[net.Conn]time.Time), sockets: socks}
 	for _, k := range s.Classes {
 		f.classes[k.Name] = k
 	}
@@ -76,6 +88,7 @@
 		f.idle[c] = time.Now()
 	case http.StateNew:
 		f.fresh[c] = time.Now()
+		f.accepted.Add(1)
 	}
 }
 
@@ -93,6 +106,7 @@
 	delete(f.idle, c)
 	delete(f.fresh, c)
 	c.Close()
+	f.evicted.Add(1)
 	return true
 }
 
@@ -118,6 +132,7 @@
 	}
 	x, wrong := f.exchange(r, arrived)
 	if wrong != nil {
+		f.wrong.Add(1)
 		if wrong.unread {
 			w.Header().Set("Connection", "close")
 		}
@@ -132,6 +147,7 @@
 	case a := <-x.answer:
 		f.write(w, a)
 	case <-r.Context().Done():
+		f.left.Add(1)
 		f.loop.post(func() { f.loop.hangup(x) })
 	case <-f.loop.ended:
 		a := answer{status: http.StatusBadGateway} // of one that came too late to be seen
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	drainAccept = 1000 * time.Millisecond // and takes no new ones
 	drainMost   = 3300 * time.Millisecond // and fails what is still held
 	drainWrite  = 300 * time.Millisecond  // what those answers may take
+	reportEvery = 5 * time.Second         // how often the log is told what became of connections
 )
 
 // Node is an edge node.
@@ -89,10 +90,11 @@
 	}
 	parts.Go(func() { n.discovery.run(life) })
 	parts.Go(func() { n.upstream.sweep(life) })
+	parts.Go(func() { n.report(life) })
 	srv := n.front.server()
 	served := make(chan error, 1)
 	parts.Go(func() { served <- srv.Serve(n.listener) })
-	slog.Info("serving", "listen", n.Addr())
+	slog.Info("serving", "listen", n.Addr(), "known", len(n.known.Targets))
 
 	select {
 	case <-ctx.Done():
@@ -105,6 +107,21 @@
 	return n.drain(srv, stop)
 }
 
+// report writes the node's counts to the log now and then, until ctx ends.
+func (n *Node) report(ctx context.Context) {
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			slog.Info("servers", n.upstream.report()...)
+			slog.Info("clients", n.front.report()...)
+		}
+	}
+}
+
 // drain lets go of the clients: they may still come for a while, each answer closes its
 // connection, and the node ends when all that it holds is answered.
 func (n *Node) drain(srv *http.Server, stop context.CancelFunc) error {
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -20,6 +20,8 @@
 	open atomic.Int64
 	most atomic.Int64
 
+	waits atomic.Int64 // times that a client had to wait for a place, for the log
+
 	// Each closes one connection that nothing waits on, if there is one. That of the app
 	// servers keeps some.
 	evictClient func() bool
@@ -48,6 +50,7 @@
 // wait books a place as soon as there is one.
 func (s *sockets) wait(ctx context.Context, leave int64) error {
 	for !s.take(leave) {
+		s.waits.Add(1)
 		select {
 		case <-ctx.Done():
 			return net.ErrClosed
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -61,6 +62,29 @@
 
 	mu    sync.Mutex
 	pools map[*pool]struct{} // those that are not retired
+
+	count connCounts
+}
+
+// connCounts tells how connections to app servers begin and end, since the node started.
+type connCounts struct {
+	dialed, failed, reused atomic.Int64
+	gone                   atomic.Int64 // idle, and closed or spoiled by the app server
+	aged                   atomic.Int64 // idle for too long
+	broken                 atomic.Int64 // not to be used again after an attempt
+}
+
+// report gives the counts and the number of idle connections as attributes of a log line.
+func (u *upstream) report() []any {
+	n := 0
+	u.mu.Lock()
+	for p := range u.pools {
+		n += len(p.idle)
+	}
+	u.mu.Unlock()
+	c := &u.count
+	return []any{"dialed", c.dialed.Load(), "failed", c.failed.Load(), "reused", c.reused.Load(),
+		"gone", c.gone.Load(), "aged", c.aged.Load(), "broken", c.broken.Load(), "idle", n}
 }
 
 // pool holds the idle connections to one app server at one address. Guards against those
@@ -176,6 +200,7 @@
 		if unhook() && keep {
 			u.put(p, c)
 		} else {
+			u.count.broken.Add(1)
 			c.Close()
 		}
 	}()
@@ -260,13 +285,27 @@
 		if c == nil {
 			return u.dial(ctx, p.endpoint)
 		}
-		if c.quiet() && time.Since(c.since) < u.idleFor {
+		if u.good(c) {
+			u.count.reused.Add(1)
 			return c, nil
 		}
 		c.Close()
 	}
 }
 
+// good tells whether an idle connection can be used, and counts why not.
+func (u *upstream) good(c *conn) bool {
+	switch {
+	case !c.quiet():
+		u.count.gone.Add(1)
+	case time.Since(c.since) >= u.idleFor:
+		u.count.aged.Add(1)
+	default:
+		return true
+	}
+	return false
+}
+
 func (u *upstream) dial(ctx context.Context, endpoint string) (*conn, error) {
 	if !u.sockets.take(0) {
 		return nil, errNoDescriptor
@@ -274,9 +313,11 @@
 	d := net.Dialer{Timeout: u.connect, KeepAlive: -1}
 	tcp, err := d.DialContext(ctx, "tcp", endpoint)
 	if err != nil {
+		u.count.failed.Add(1)
 		u.sockets.open.Add(-1)
 		return nil, err
 	}
+	u.count.dialed.Add(1)
 	c := &conn{counted: counted{Conn: tcp, sockets: u.sockets}, in: answerReader{Conn: tcp}}
 	if c.raw, err = tcp.(*net.TCPConn).SyscallConn(); err != nil {
 		c.Close()
@@ -332,7 +373,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			u.drop(func(c *conn) bool { return !c.quiet() || time.Since(c.since) >= u.idleFor })
+			u.drop(func(c *conn) bool { return !u.good(c) })
 		}
 	}
 }
