--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,7 @@
 	srv := n.front.server()
 	served := make(chan error, 1)
 	parts.Go(func() { served <- srv.Serve(n.listener) })
-	slog.Info("serving", "listen", n.Addr(), "known", len(n.known.Targets))
+	slog.Info("serving", "listen", n.Addr())
 
 	select {
 	case <-ctx.Done():
