Take a short time that recurs for a hasty client's first try, not for a late retry

Without marks a try whose time left was unlike its class's usual one was held for a later try that had waited the rest of the deadline, and refused as too late. What a refusal's advice brings back stays a later try.

--- a/control/control.go
+++ b/control/control.go
@@ -94,7 +94,10 @@
 	badIdle      = 1.3   // times the idle time below which it is not
 	badHold      = 0.03  // part from which it does not grow
 	askAgain     = 2 * time.Second
-	reportEvery  = 5 * time.Second // how often the operators' log is told what became of requests
+	sameTTL      = 3 * time.Millisecond // by which the times of two first tries of one kind differ
+	oftenLeast   = 4                    // tries with one time, from which it is a first try's
+	oftenMost    = 50                   // and the most that are counted
+	reportEvery  = 5 * time.Second      // how often the operators' log is told what became of requests
 )
 
 // New makes the controller of one gateway. All randomness comes from seed.
@@ -430,6 +433,9 @@
 	u := c.usual[k]
 	short := u.ttl - e.TTL
 	odd := short > max(c.skipped, tick) || short < -tick
+	if odd && u.seen > 0 && !e.Repeat && !c.set.MarksRetry && c.hasty(u, e.TTL, k) {
+		return 0
+	}
 	later := e.Repeat || !c.set.MarksRetry && odd && u.seen > 0
 	if !e.Repeat {
 		u.count(e.TTL, odd)
@@ -443,8 +449,23 @@
 	return k.Deadline - e.TTL
 }
 
+// hasty tells whether a try with an unusual time is the first of a client that gives its tries
+// up sooner than most. Guards against taking all that a hasty client asks for later tries, which
+// could only be late: what is left to later tries varies with the answers before them, but for
+// those that came back just when a refusal told them to.
+func (c *Controller) hasty(u *usualTTL, ttl time.Duration, k *Class) bool {
+	if back := k.Deadline - ttl - c.advice(); back >= 0 && back < tick {
+		return false
+	}
+	u.recur(ttl)
+	return u.same(ttl) && u.often >= oftenLeast
+}
+
+// advice is when a refused client is told to come back.
+func (c *Controller) advice() time.Duration { return min(retryAfter, c.set.MaxRetryAfter) }
+
 func (c *Controller) refuse(id string) {
-	c.act(Refuse{ID: id, RetryAfter: min(retryAfter, c.set.MaxRetryAfter)})
+	c.act(Refuse{ID: id, RetryAfter: c.advice()})
 }
 
 // finish gives the final answer of a request that was not served: a refusal
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -855,3 +855,39 @@
 		t.Errorf("%d sends in 3 s from one of twelve gateways that knows no rate", cold)
 	}
 }
+
+// Clients that give a try up soon are served like others; a later try that can only be late is
+// still refused where the customer's use is not known.
+func TestHastyClientsAreNotTakenForLateOnes(t *testing.T) {
+	ask := func(g *gate, n int, ttl func(i int) time.Duration) (refused int) {
+		for i := range n {
+			id := fmt.Sprint("x", g.now, i)
+			g.do(Request{ID: id, Class: "job", Plan: "low", Customer: fmt.Sprint(i), TTL: ttl(i), Units: 1, Spread: 2})
+			if _, ok := g.ends[id].(Refuse); ok {
+				refused++
+			} else {
+				g.reply(id, OK, 0)
+			}
+			g.pass(10 * ms)
+		}
+		return refused
+	}
+	for _, k := range []struct {
+		name string
+		ttl  func(i int) time.Duration
+		most int
+		min  int
+	}{
+		{"one short time", func(int) time.Duration { return 300 * ms }, 4, 0},
+		{"what varying answers leave", func(i int) time.Duration { return time.Duration(3000-i*37) * ms }, 40, 40},
+		{"back when told to", func(i int) time.Duration { return 3*time.Second - time.Duration(5+i%2)*ms }, 40, 40},
+	} {
+		s := settings()
+		s.MaxRetryAfter, s.Classes[0].Aim, s.Classes[0].Deadline = time.Second, 900*ms, 4*time.Second
+		g := newGate(t, s, on(1, 2)...)
+		ask(g, 40, func(int) time.Duration { return 3500 * ms })
+		if n := ask(g, 40, k.ttl); n > k.most || n < k.min {
+			t.Errorf("%s: %d of 40 were refused, want %d to %d", k.name, n, k.min, k.most)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -87,10 +87,13 @@
 	own, charged, asked, refused history
 }
 
-// usualTTL is the time that most first tries of a class come with.
+// usualTTL is the time that most first tries of a class come with, and the one that recurs most
+// among the rest: some clients give their tries up sooner than others do.
 type usualTTL struct {
-	ttl  time.Duration
-	seen int // how many tries had it, less those that had not
+	ttl    time.Duration
+	seen   int // how many tries had it, less those that had not
+	second time.Duration
+	often  int // how many of the rest had it, less those that had not
 }
 
 // count follows what most of the tries have.
@@ -103,6 +106,23 @@
 	u.seen++
 }
 
+// recur follows what most of the rest have.
+func (u *usualTTL) recur(ttl time.Duration) {
+	switch {
+	case u.same(ttl):
+		u.often = min(u.often+1, oftenMost)
+	case u.often > 0:
+		u.often--
+	default:
+		u.second, u.often = ttl, 1
+	}
+}
+
+// same tells whether a time is the one that recurs.
+func (u *usualTTL) same(ttl time.Duration) bool {
+	return u.often > 0 && (ttl-u.second).Abs() <= sameTTL
+}
+
 type server struct {
 	Member
 	listed            bool
