Close a client connection after a health check or an improper request

Peers that ask for /healthz once, or for a class that does not exist, kept their connection and its descriptor for 10 s.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -127,15 +127,16 @@
 		if !f.ready.Load() || f.draining.Load() {
 			status = http.StatusServiceUnavailable
 		}
+		// Guards, here and below, against peers that hold a descriptor with a connection on
+		// which nothing more is to come: only a proper request earns its connection a stay.
+		w.Header().Set("Connection", "close")
 		f.write(w, answer{status: status})
 		return
 	}
 	x, wrong := f.exchange(r, arrived)
 	if wrong != nil {
 		f.wrong.Add(1)
-		if wrong.unread {
-			w.Header().Set("Connection", "close")
-		}
+		w.Header().Set("Connection", "close")
 		f.write(w, answer{status: wrong.status, body: []byte(wrong.text + "\n")})
 		return
 	}
@@ -199,7 +200,6 @@
 type badRequest struct {
 	status int
 	text   string
-	unread bool // what follows on the connection can't be told from this request
 }
 
 func bad(status int, format string, args ...any) *badRequest {
@@ -209,7 +209,6 @@
 // exchange reads a client's request. The module must not hear of one that is wrong.
 func (f *front) exchange(r *http.Request, arrived time.Time) (*exchange, *badRequest) {
 	if wrong := framing(r); wrong != nil {
-		wrong.unread = true
 		return nil, wrong
 	}
 	// Guards against app servers that read another one of two values than this node.
@@ -256,9 +255,7 @@
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		wrong := bad(http.StatusBadRequest, "reading the body: %v", err)
-		wrong.unread = true
-		return nil, wrong
+		return nil, bad(http.StatusBadRequest, "reading the body: %v", err)
 	}
 	return &exchange{req: e, body: body, forward: forward(r), deadline: arrived.Add(left - answerAhead),
 		answer: make(chan answer, 1)}, nil
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -592,3 +592,24 @@
 		t.Error("the app server's connection was given up for silent clients")
 	}
 }
+
+// A connection is kept for a client's proper requests only.
+func TestOnlyProperRequestsKeepTheirConnection(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	r.list(a.target("s-1", 0))
+	for _, k := range []struct {
+		path   string
+		status int
+		closes bool
+	}{
+		{"/roster-read", http.StatusOK, false},
+		{"/healthz", http.StatusOK, true},
+		{"/roster-read-old", http.StatusNotFound, true},
+		{"/visit-update", http.StatusMethodNotAllowed, true},
+	} {
+		if resp, _ := r.do(r.call(http.MethodGet, k.path, "id"+strings.ReplaceAll(k.path, "/", "-"))); resp.StatusCode != k.status || resp.Close != k.closes {
+			t.Errorf("%s: status %d, closes %v; want %d, %v", k.path, resp.StatusCode, resp.Close, k.status, k.closes)
+		}
+	}
+}
