--- a/control/control.go
+++ b/control/control.go
@@ -61,7 +61,7 @@
 	askedMean    = 0.8              // and its mean, in parts of the rate: few customers ask for far more
 	burstPart    = 0.5              // part of the depth that the chance grants over toldAge
 	toldAge      = 20.0             // s after which a reading has lost 63% of its weight
-	coverLeast   = 0.5              // part of the periods told from which the store goes before the chance
+	coverLeast   = 0.3              // part of the periods told from which the store goes before the chance
 	custKeep     = time.Minute      // the longest that an idle customer is remembered, if its stores are full
 	custMost     = 20000            // customers from half of which the idle are forgotten
 	latencyGain  = 0.2              // gain of a server's latency estimate
@@ -173,7 +173,7 @@
 	key := p.Name + " " + id
 	q := c.custs[key]
 	if q == nil {
-		q = &customer{plan: p, at: c.now, level: p.Depth, carry: c.rng.Float64(),
+		q = &customer{plan: p, at: c.now, seenFrom: c.now, level: p.Depth, carry: c.rng.Float64(),
 			spread: math.Max(1, float64(spread)), smooth: usePrior * p.Rate}
 		// A gateway just started does not know what its former self has passed on: the
 		// ceiling's store begins with the slack only and fills from the gateway's start.
@@ -261,9 +261,12 @@
 	return false
 }
 
-// covered tells whether most periods of a customer's use are told here.
+// covered tells whether enough of the periods of a customer's use are told here, of those that
+// could be since it was first seen: a gateway that has just started is not held to have missed
+// what was before it.
 func (c *Controller) covered(q *customer) bool {
-	return q.cover*math.Exp(-(c.now-q.toldAt).Seconds()/toldAge) > coverLeast*toldAge
+	could := toldAge * (1 - math.Exp(-(c.now-q.seenFrom).Seconds()/toldAge))
+	return q.cover*math.Exp(-(c.now-q.toldAt).Seconds()/toldAge) > coverLeast*could
 }
 
 // chanceNow is the chance of refusal, 1-(1-d')*100/p with p over the latest readings that amount
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -891,3 +891,35 @@
 		}
 	}
 }
+
+// A store that is told of in each period goes before the chance from the first periods on, and no
+// longer once most periods are not told.
+func TestFullStoreIsTrustedSoonAfterTheStart(t *testing.T) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Depth = 10, 20
+	g := newGate(t, s, on(1, 2)...)
+	q := g.c.customerOf(g.c.plans[0], "x", 2)
+	let := func() (n int) {
+		g.c.now = g.now
+		g.c.refill(q)
+		q.level, q.tries, q.triesAt, q.carry = q.plan.Depth, 400, g.now, 0 // asked for far more of late
+		for range 10 {
+			if g.c.passes(q, 1) {
+				n++
+			}
+		}
+		return n
+	}
+	for range 3 {
+		g.now += time.Second
+		g.c.now = g.now
+		g.c.meter(q, 31, 1)
+	}
+	if n := let(); n != 10 {
+		t.Errorf("%d of 10 were let in by a full store after three told periods", n)
+	}
+	g.now += 30 * time.Second
+	if n := let(); n > 5 {
+		t.Errorf("%d of 10 were let in though no period was told for long", n)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -66,6 +66,7 @@
 	plan           *plan
 	spread         float64
 	at             time.Duration // of the levels
+	seenFrom       time.Duration
 	level, ceiling float64
 	queued         float64       // units in the queue
 	open           int           // attempts out
