Serve on for a while after SIGTERM before letting go of client connections

Each answer after SIGTERM closed its connection, and after a second the node was gone, though it may stay for the longest deadline and more. In a rolling restart the next node gets its SIGTERM while the one before is not back, and customers that come through these two only had no node. The node now serves until 1.2 s before its drain has to end, which goes by the longest deadline.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -37,7 +37,8 @@
 	group    int
 	unitsTop float64 // 0 is not told
 	ready    atomic.Bool
-	draining atomic.Bool
+	draining atomic.Bool // no longer ready
+	closing  atomic.Bool // each answer closes its connection
 
 	mu    sync.Mutex
 	idle  map[net.Conn]time.Time // client connections between two requests
@@ -166,8 +167,8 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWithin))
 	h := w.Header()
 	// Guards against requests that come on a held one's connection after the drain: what
-	// counts is whether the node drains now, not when the request came.
-	if f.draining.Load() {
+	// counts is whether the node lets go now, not when the request came.
+	if f.closing.Load() {
 		h.Set("Connection", "close")
 	}
 	for k, v := range a.header {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	drainIdle   = 500 * time.Millisecond  // after which a draining node closes idle client connections
-	drainAccept = 1000 * time.Millisecond // and takes no new ones
-	drainMost   = 3300 * time.Millisecond // and fails what is still held
-	drainWrite  = 300 * time.Millisecond  // what those answers may take
-	reportEvery = 5 * time.Second         // how often the log is told what became of connections
+	deadlineMost = 3 * time.Second         // of a class, as far as the end of a planned restart waits for it
+	drainMargin  = 300 * time.Millisecond  // after the longest deadline: what is still held then is failed
+	drainServe   = 1200 * time.Millisecond // before that: connections are let go
+	drainClose   = 200 * time.Millisecond  // from then until no new connections are taken
+	drainWrite   = 300 * time.Millisecond  // what the last answers may take
+	reportEvery  = 5 * time.Second         // how often the log is told what became of connections
 )
 
 // Node is an edge node.
@@ -30,6 +31,7 @@
 	known     listing
 	listener  net.Listener
 	listening context.CancelFunc
+	most      time.Duration // a drain ends by then
 }
 
 // New makes an edge node and begins to listen.
@@ -46,7 +48,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{front: newFront(cfg.Settings, l, socks), loop: l, upstream: up, known: cfg.Known,
-		listener: &countedListener{tcp, ctx, socks}, listening: cancel}
+		listener: &countedListener{tcp, ctx, socks}, listening: cancel,
+		most: drainMost(cfg.Settings.Classes)}
 	n.discovery = newWatcher(cfg.Discovery, cfg.Known.Rev, func(news listing) {
 		kind := control.Patch
 		if news.All {
@@ -122,18 +125,31 @@
 	}
 }
 
-// drain lets go of the clients: they may still come for a while, each answer closes its
+// drainMost is how long a drain lasts at most: the platform kills a node 0.7 s after the longest
+// deadline of its classes.
+func drainMost(classes []control.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, k := range classes {
+		longest = max(longest, k.Deadline)
+	}
+	return min(longest, deadlineMost) + drainMargin
+}
+
+// drain lets go of the clients. The front goes by /healthz; the connections it has it may go on
+// using for as long as they are open, and while another edge node restarts too, some customers
+// have no other. So the node serves as before for a while, then each answer closes its
 // connection, and the node ends when all that it holds is answered.
 func (n *Node) drain(srv *http.Server, stop context.CancelFunc) error {
 	slog.Info("draining")
 	begun := time.Now()
 	n.front.draining.Store(true)
+	serve := max(n.most-drainServe, 0)
 	steps := []struct {
 		at time.Duration
 		do func()
 	}{
-		{drainIdle, func() { srv.SetKeepAlivesEnabled(false) }},
-		{drainAccept, func() { n.finish(srv, drainMost-drainAccept) }},
+		{serve, func() { n.front.closing.Store(true); srv.SetKeepAlivesEnabled(false) }},
+		{serve + drainClose, func() { n.finish(srv, n.most-serve-drainClose) }},
 	}
 	for _, s := range steps {
 		select {
