--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"martennotch/control"
 )
 
 func TestServedUnchanged(t *testing.T) {
