Do not take tries that come back after a wait for a turn for hasty clients' first ones

A request that had no turn in 0.4 of its aim is refused with one second's advice, and all such clients come back with the same time left.

--- a/control/control.go
+++ b/control/control.go
@@ -452,9 +452,10 @@
 // hasty tells whether a try with an unusual time is the first of a client that gives its tries
 // up sooner than most. Guards against taking all that a hasty client asks for later tries, which
 // could only be late: what is left to later tries varies with the answers before them, but for
-// those that came back just when a refusal told them to.
+// those that a refusal, given at once or after the wait for a turn, told when to come back.
 func (c *Controller) hasty(u *usualTTL, ttl time.Duration, k *Class) bool {
-	if back := k.Deadline - ttl - c.advice(); back >= 0 && back < tick {
+	back, wait := k.Deadline-ttl-c.advice(), time.Duration(openAim*float64(k.Aim))
+	if ttl > u.ttl || back >= 0 && back < wait+tick {
 		return false
 	}
 	u.recur(ttl)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -881,6 +881,7 @@
 		{"one short time", func(int) time.Duration { return 300 * ms }, 4, 0},
 		{"what varying answers leave", func(i int) time.Duration { return time.Duration(3000-i*37) * ms }, 40, 40},
 		{"back when told to", func(i int) time.Duration { return 3*time.Second - time.Duration(5+i%2)*ms }, 40, 40},
+		{"back when told to after waiting for a turn", func(i int) time.Duration { return 2640 * ms }, 40, 40},
 	} {
 		s := settings()
 		s.MaxRetryAfter, s.Classes[0].Aim, s.Classes[0].Deadline = time.Second, 900*ms, 4*time.Second
