Count the belief in an even spread in units, as what it is held against

The part of a customer's use that comes through a gateway was learned from units against a belief of three units, said to be three requests: one large request moved it to half or double, and the charges with it.

--- a/control/control.go
+++ b/control/control.go
@@ -43,7 +43,7 @@
 	bins         = 80               // history of a customer, in bins of a tenth of the meter period
 	binsPeriod   = 10               // bins in one meter period
 	shareKeep    = 0.85             // what a customer's learned part keeps at each reading
-	sharePrior   = 3.0              // requests' worth of belief in an even spread
+	sharePrior   = 10.0             // units of belief in an even spread: some four requests
 	shareLeast   = 0.05             // the least that the learned part can be
 	usePrior     = 0.3              // part of its rate that an unseen customer is taken to use
 	useKeep      = 0.8              // what the smoothed use keeps at each reading
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -946,3 +946,18 @@
 		}
 	}
 }
+
+// One large request says little of how a customer's use is spread over the gateways.
+func TestOneRequestHardlyMovesTheLearnedPart(t *testing.T) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Depth = 10, 20
+	g := newGate(t, s, on(1, 2)...)
+	q := g.c.customerOf(g.c.plans[0], "x", 4)
+	g.c.clock.lag = 0
+	g.now += time.Second
+	g.c.now = g.now
+	g.c.meter(q, 81, 8) // eight units, all through other gateways
+	if w := q.part(); w < 0.125 {
+		t.Errorf("the learned part fell from 0.25 to %.3f by one request elsewhere", w)
+	}
+}
