Keep four requests a server in flight for the whole group however often the bound is cut

Under a slowdown of all servers each node's bound fell to 3.5, half a request a server, while 315 of 660 requests in 5 s had no turn: four nodes kept 14 in flight for 27 cores. The group's floor was two a server; it is four now, which keeps three cores busy.

--- a/control/control.go
+++ b/control/control.go
@@ -21,7 +21,7 @@
 	intervalMore = 4 * time.Second        // by which it may last longer where few answers are in
 	perServer    = 2                      // in-flight bound per ready server, at start and as floor
 	groupFirst   = 8.0                    // per server, that the first bounds of a whole group may sum up to
-	groupLeast   = 2.0                    // the same for the floors
+	groupLeast   = 4.0                    // the same for the floors: fewer leave cores of a server idle
 	boundUp      = 1.25                   // growth of the bound after an interval without trouble
 	boundDown    = 0.5                    // cut of the bound on trouble, once an interval at most
 	leastAnswers = 5                      // below so many answers an interval the shares stay
