--- a/cmd/lockflow/main.go
+++ b/cmd/lockflow/main.go
@@ -43,10 +43,8 @@
 	if err != nil {
 		return err
 	}
-	for name, field := range map[string]*string{"NODE_LISTEN": &cfg.Listen, "NODE_DISCOVERY": &cfg.Discovery} {
-		if v := os.Getenv(name); v != "" {
-			*field = v
-		}
+	if err := cfg.FromEnvironment(os.Getenv); err != nil {
+		return err
 	}
 	runtime.GOMAXPROCS(int(math.Max(1, math.Ceil(cfg.Cores))))
 	debug.SetGCPercent(collectAt)
--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -32,10 +33,14 @@
 	if err := os.WriteFile(broken, []byte("{"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for name, path := range map[string]string{"none named": "", "missing": broken + ".no", "broken": broken} {
+	for name, env := range map[string][]string{"none named": {"NODE_CONFIG="}, "missing": {"NODE_CONFIG=" + broken + ".no"},
+		"broken": {"NODE_CONFIG=" + broken}, "no console": {"NODE_CONFIG=" + testConfig, "NODE_CONSOLE=nowhere"},
+		"console of others": {"NODE_CONFIG=" + testConfig, "NODE_CONSOLE=192.0.2.1:9"},
+		"no descriptor":     {"NODE_CONFIG=" + testConfig, "NODE_SOCKET_FD=99"},
+		"no socket":         {"NODE_CONFIG=" + testConfig, "NODE_SOCKET_FD=x"}} {
 		t.Run(name, func(t *testing.T) {
 			cmd := exec.Command(bin)
-			cmd.Env = append(os.Environ(), "NODE_CONFIG="+path)
+			cmd.Env = append(os.Environ(), env...)
 			out, err := cmd.CombinedOutput()
 			if cmd.ProcessState.ExitCode() != 1 || strings.Count(string(out), "\n") != 1 {
 				t.Errorf("%v: %s", err, out)
@@ -56,8 +61,19 @@
 // environment that of the file counts.
 func start(t *testing.T, config, discovery string) *program {
 	t.Helper()
-	p := &program{Cmd: exec.Command(build(t)), t: t}
+	return startWith(t, build(t), config, discovery, nil)
+}
+
+// startWith starts a built program, with the clients' socket if there is one.
+func startWith(t *testing.T, bin, config, discovery string, socket *os.File, env ...string) *program {
+	t.Helper()
+	p := &program{Cmd: exec.Command(bin), t: t}
 	p.Env = append(os.Environ(), "NODE_CONFIG="+config, "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY="+discovery)
+	p.Env = append(p.Env, env...)
+	if socket != nil {
+		p.ExtraFiles = []*os.File{nil, nil, socket}
+		p.Env = append(p.Env, "NODE_SOCKET_FD=5")
+	}
 	log, err := p.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -227,3 +243,65 @@
 		t.Error(err)
 	}
 }
+
+// Two processes share the clients' socket: at SIGTERM the old one answers what it took, lets its
+// kept connections go on an answer and leaves early; the socket stays good for the other.
+func TestReplaced(t *testing.T) {
+	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "done") }))
+	t.Cleanup(app.Close)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := tcp.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tcp.Close()
+	defer socket.Close()
+	bin, list, dir := build(t), discovery(t, "s-1", app).Listener.Addr().String(), "TMPDIR="+t.TempDir()
+	old := startWith(t, bin, testConfig, list, socket, dir)
+	c, err := net.Dial("tcp", old.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Minute))
+	in := bufio.NewReader(c)
+	ask := func(id string) *http.Response {
+		t.Helper()
+		fmt.Fprintf(c, "GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: %s\r\n"+
+			"X-Tariff: enterprise\r\nX-Time-Left: 7000m\r\n\r\n", id)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+	if resp := ask("id-1"); resp.StatusCode != 200 || resp.Close {
+		t.Fatalf("%s, closes %v", resp.Status, resp.Close)
+	}
+	fresh := startWith(t, bin, testConfig, list, socket, dir)
+	begun := time.Now()
+	old.signal(syscall.SIGTERM)
+	old.until("draining")
+	if resp := ask("id-2"); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("%s, closes %v", resp.Status, resp.Close)
+	}
+	old.until("drained")
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("an empty process left after %v", took)
+	}
+	if err := old.Wait(); err != nil {
+		t.Error(err)
+	}
+	if a := <-fresh.ask("id-3"); !strings.HasPrefix(a, "200 done") {
+		t.Error(a)
+	}
+	fresh.signal(syscall.SIGTERM)
+	fresh.until("drained")
+	if err := fresh.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -158,6 +158,14 @@
 
 func (c *Controller) aside(s *server) bool { return s.strikes >= strikesOut && c.now < s.asideUntil }
 
+// Avoided tells, for the operators' figures, how many of the listed servers that run get nothing
+// now while there is another. It changes nothing.
+func (c *Controller) Avoided(now time.Duration) int {
+	return int(c.count(func(s *server) bool {
+		return s.usable() && (s.probing || s.strikes >= strikesOut && now < s.asideUntil)
+	}))
+}
+
 // floor is twice the ready servers, the least that the bound may be, or where the floors of the
 // whole group would sum up to more than a server can use, this gateway's part of that sum. Guards
 // against many gateways that jam the fleet by their floors alone.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -19,6 +19,8 @@
 // Config is what an edge node is started with.
 type Config struct {
 	Name, Listen, Discovery string
+	Console                 string // where operators call; "" is nowhere
+	SocketFD                int    // of the clients' listening socket where it is inherited; 0 is none
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -42,8 +44,8 @@
 
 func parseConfig(raw []byte) (Config, error) {
 	var file struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Console, Seed string
+		Limits                                 struct {
 			Cores    float64
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
@@ -54,15 +56,13 @@
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Known: file.Known,
+	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Console: file.Console, Known: file.Known,
 		Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}
 	if c.Listen == "" || c.Discovery == "" {
 		return c, fmt.Errorf("listen and discovery must both be given")
 	}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return c, fmt.Errorf("%s: %w", name, err)
-		}
+	if err := c.checkAddresses(); err != nil {
+		return c, err
 	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
@@ -86,6 +86,37 @@
 	return c, err
 }
 
+// checkAddresses names the first address that is none.
+func (c *Config) checkAddresses() error {
+	addrs := []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"console", c.Console}}
+	for _, a := range addrs {
+		if a.name == "console" && a.addr == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return fmt.Errorf("%s: %w", a.name, err)
+		}
+	}
+	return nil
+}
+
+// FromEnvironment takes over what the environment names; it goes before the file.
+func (c *Config) FromEnvironment(lookup func(string) string) error {
+	for name, field := range map[string]*string{"NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery, "NODE_CONSOLE": &c.Console} {
+		if v := lookup(name); v != "" {
+			*field = v
+		}
+	}
+	if v := lookup("NODE_SOCKET_FD"); v != "" {
+		fd, err := strconv.Atoi(v)
+		if err != nil || fd <= 2 {
+			return fmt.Errorf("NODE_SOCKET_FD: %q is no descriptor", v)
+		}
+		c.SocketFD = fd
+	}
+	return c.checkAddresses()
+}
+
 // millis reads a span of the settings that is the node's own business.
 func millis(paths map[string]string, path string, missing time.Duration) (time.Duration, error) {
 	text, ok := paths[path]
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -63,3 +63,25 @@
 		t.Error("a missing file was taken")
 	}
 }
+
+// The environment goes before the file; what it says wrong is named.
+func TestEnvironment(t *testing.T) {
+	env := map[string]string{"NODE_CONSOLE": "127.0.0.1:9", "NODE_SOCKET_FD": "5"}
+	c, err := LoadConfig("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.FromEnvironment(func(n string) string { return env[n] }); err != nil || c.Console != "127.0.0.1:9" || c.SocketFD != 5 {
+		t.Errorf("%v, console %q, descriptor %d", err, c.Console, c.SocketFD)
+	}
+	for name, value := range map[string]string{"NODE_CONSOLE": "nowhere", "NODE_SOCKET_FD": "five", "NODE_LISTEN": "x"} {
+		if err := c.FromEnvironment(func(n string) string {
+			if n == name {
+				return value
+			}
+			return ""
+		}); err == nil {
+			t.Errorf("%s=%s is taken", name, value)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/console.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	consolePlaces = 16              // callers at once
+	consoleWithin = time.Second     // of a call's head
+	consoleAnswer = 2 * time.Second // of a call, and of the writing of its answer
+	consoleHead   = 4 << 10
+)
+
+// console is the operators' door. It has a server and places of its own and reads atomics
+// only, so that it answers however busy clients keep the rest of the node.
+type console struct {
+	srv      *http.Server
+	listener net.Listener
+}
+
+// newConsole listens for operators.
+func newConsole(addr string, n *Node) (*console, error) {
+	tcp, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening for operators: %w", err)
+	}
+	c := &console{listener: &fewListener{Listener: tcp, open: make(map[*fewConn]time.Time)}}
+	c.srv = &http.Server{Handler: consoleRoutes(n), ReadHeaderTimeout: consoleWithin, ReadTimeout: consoleAnswer,
+		WriteTimeout: consoleAnswer, MaxHeaderBytes: consoleHead}
+	c.srv.SetKeepAlivesEnabled(false) // one call a connection
+	return c, nil
+}
+
+// run answers until ctx ends.
+func (c *console) run(ctx context.Context) {
+	defer context.AfterFunc(ctx, func() { c.srv.Close() })()
+	if err := c.srv.Serve(c.listener); !errors.Is(err, http.ErrServerClosed) {
+		slog.Error("console ends", "err", err)
+	}
+}
+
+// consoleRoutes are the operators' calls: another path is 404, another method 405.
+func consoleRoutes(n *Node) http.Handler {
+	calls := map[string]map[string]http.HandlerFunc{
+		"/ready": {http.MethodGet: func(w http.ResponseWriter, _ *http.Request) {
+			if !n.front.ready.Load() || n.front.draining.Load() {
+				http.Error(w, "no", http.StatusServiceUnavailable)
+				return
+			}
+			fmt.Fprintln(w, "yes")
+		}},
+		"/metrics": {http.MethodGet: func(w http.ResponseWriter, _ *http.Request) {
+			var text bytes.Buffer
+			n.stats.write(&text)
+			w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+			w.Write(text.Bytes())
+		}},
+		"/drain": {http.MethodPost: func(w http.ResponseWriter, _ *http.Request) {
+			n.drainer.begin(consoleServe, consoleIdle)
+			fmt.Fprintln(w, "draining")
+		}},
+		"/undrain": {http.MethodPost: func(w http.ResponseWriter, _ *http.Request) {
+			if !n.drainer.undo() {
+				http.Error(w, "the process ends", http.StatusConflict)
+				return
+			}
+			fmt.Fprintln(w, "serving")
+		}},
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		methods, known := calls[r.URL.Path]
+		call := methods[r.Method]
+		switch {
+		case !known:
+			http.NotFound(w, r)
+		case call == nil:
+			for m := range methods {
+				w.Header().Set("Allow", m)
+			}
+			http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+		default:
+			call(w, r)
+		}
+	})
+}
+
+// fewListener keeps to a few connections: where all places are taken, the oldest is closed for
+// the new one. Guards against callers that finish nothing and keep the staff out.
+type fewListener struct {
+	net.Listener
+	mu   sync.Mutex
+	open map[*fewConn]time.Time
+}
+
+// fewConn is a connection that gives its place back when it is closed.
+type fewConn struct {
+	net.Conn
+	of *fewListener
+}
+
+func (l *fewListener) Accept() (net.Conn, error) {
+	tcp, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &fewConn{Conn: tcp, of: l}
+	l.mu.Lock()
+	var oldest *fewConn
+	if len(l.open) >= consolePlaces {
+		for o, since := range l.open {
+			if oldest == nil || since.Before(l.open[oldest]) {
+				oldest = o
+			}
+		}
+		delete(l.open, oldest)
+	}
+	l.open[c] = time.Now()
+	l.mu.Unlock()
+	if oldest != nil {
+		oldest.Conn.Close()
+	}
+	return c, nil
+}
+
+func (c *fewConn) Close() error {
+	c.of.mu.Lock()
+	delete(c.of.open, c)
+	c.of.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -45,7 +45,9 @@
 	fresh map[net.Conn]time.Time // those that have not sent a whole head yet
 
 	accepted, evicted, wrong, left atomic.Int64 // for the log, since the node started
+	conns                          atomic.Int64 // open now
 	sockets                        *sockets
+	stats                          *stats
 }
 
 // report gives the counts of the clients' side as attributes of a log line.
@@ -57,10 +59,10 @@
 		"left", f.left.Load(), "idle", idle, "fresh", fresh, "sockets", f.sockets.open.Load(), "waits", f.sockets.waits.Load()}
 }
 
-func newFront(s control.Settings, l *loop, socks *sockets) *front {
+func newFront(s control.Settings, l *loop, socks *sockets, counts *stats) *front {
 	f := &front{loop: l, classes: make(map[string]control.Class), plans: make(map[string]bool),
 		group: s.GroupSize, unitsTop: s.UnitsTop, idle: make(map[net.Conn]time.Time),
-		fresh: make(map[net.Conn]time.Time), sockets: socks}
+		fresh: make(map[net.Conn]time.Time), sockets: socks, stats: counts}
 	for _, k := range s.Classes {
 		f.classes[k.Name] = k
 	}
@@ -90,6 +92,24 @@
 	case http.StateNew:
 		f.fresh[c] = time.Now()
 		f.accepted.Add(1)
+		f.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		f.conns.Add(-1)
+	}
+}
+
+// closeIdle closes the client connections on which nothing is open, also new ones that have said
+// nothing for a while. Guards against closing on a request that has come and is not read yet.
+func (f *front) closeIdle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, conns := range []map[net.Conn]time.Time{f.idle, f.fresh} {
+		for c, since := range conns {
+			if time.Since(since) >= idleLook && silent(c) {
+				delete(conns, c)
+				c.Close()
+			}
+		}
 	}
 }
 
@@ -144,21 +164,25 @@
 	// net/http goes on reading while a request is held, to notice a hang-up; the limit on
 	// the request's own time must not end that.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	f.stats.inflight.Add(1)
+	defer f.stats.inflight.Add(-1)
 	f.loop.post(func() { f.loop.begin(x) })
+	var a answer
 	select {
-	case a := <-x.answer:
-		f.write(w, a)
+	case a = <-x.answer:
 	case <-r.Context().Done():
 		f.left.Add(1)
 		f.loop.post(func() { f.loop.hangup(x) })
+		return
 	case <-f.loop.ended:
-		a := answer{status: http.StatusBadGateway} // of one that came too late to be seen
+		a = answer{status: http.StatusBadGateway} // of one that came too late to be seen
 		select {
 		case a = <-x.answer:
 		default:
 		}
-		f.write(w, a)
 	}
+	f.write(w, a)
+	f.stats.answered(x.req.Class, a.status)
 }
 
 // write sends an answer, whatever it is.
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.Discovery = r.agent.addr()
+	cfg.Discovery, cfg.Console = r.agent.addr(), "127.0.0.1:0"
 	if r.node, err = New(cfg); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -18,6 +18,9 @@
 // the last byte of the answer is there in time.
 const answerAhead = 15 * time.Millisecond
 
+// publishEvery is how old a figure of the loop's may become.
+const publishEvery = 200 * time.Millisecond
+
 // exchange is one client request on its way to its final answer.
 type exchange struct {
 	req      control.Request // its TTL is set when the module is told
@@ -73,9 +76,10 @@
 	pools     map[uint32]*pool  // of those that are up
 	unitsTop  float64           // of one request; 0 is not told
 	pending   []control.Event   // that the node itself caused while it acted
+	stats     *stats
 }
 
-func newLoop(cfg Config, up *upstream) (*loop, error) {
+func newLoop(cfg Config, up *upstream, counts *stats) (*loop, error) {
 	ctl, err := control.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -83,7 +87,7 @@
 	life, end := context.WithCancel(context.Background())
 	return &loop{life: life, end: end, ctl: ctl, upstream: up, start: time.Now(), sendCap: cfg.Settings.SendCap,
 		events: make(chan func(), 256), ended: make(chan struct{}), exchanges: make(map[string]*exchange),
-		ids: make(map[string]uint32), pools: make(map[uint32]*pool), unitsTop: cfg.Settings.UnitsTop}, nil
+		ids: make(map[string]uint32), pools: make(map[uint32]*pool), unitsTop: cfg.Settings.UnitsTop, stats: counts}, nil
 }
 
 // now is Unix time when the node started and monotonic time since, so that the start of
@@ -116,16 +120,26 @@
 		close(l.ended)
 		l.end()
 	}()
+	look := time.NewTicker(publishEvery)
+	defer look.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-l.events:
 			event()
+		case <-look.C: // select takes turns at random, so a busy loop comes here too
+			l.publish()
 		}
 	}
 }
 
+// publish puts out the figures that only the loop and the module know.
+func (l *loop) publish() {
+	l.stats.listed.Store(int64(len(l.ids)))
+	l.stats.down.Store(int64(l.ctl.Avoided(l.now())))
+}
+
 // handle tells the module of an event, and of those that follow from what it does.
 func (l *loop) handle(e control.Event) {
 	l.pending = append(l.pending, e)
@@ -231,7 +245,7 @@
 	x.out++
 	sent := time.Now()
 	go func() {
-		o := l.upstream.try(ctx, to, x.message())
+		o := l.upstream.try(ctx, to, x.message(), func() { l.stats.calls.Add(1) })
 		cancel()
 		l.post(func() { l.settle(x, n, a.Server, sent, o) })
 	}()
@@ -296,4 +310,5 @@
 		}
 	}
 	l.handle(e)
+	l.publish()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	drainServe   = 1200 * time.Millisecond // before that: connections are let go
 	drainClose   = 200 * time.Millisecond  // from then until no new connections are taken
 	drainWrite   = 300 * time.Millisecond  // what the last answers may take
+	drainLook    = 20 * time.Millisecond   // how often an end is looked for that comes early
 	reportEvery  = 5 * time.Second         // how often the log is told what became of connections
 )
 
@@ -31,25 +32,42 @@
 	known     listing
 	listener  net.Listener
 	listening context.CancelFunc
+	inherited bool          // the socket of the clients is the platform's: another process may share it
 	most      time.Duration // a drain ends by then
+	console   *console      // nil is none
+	stats     *stats
+	drainer   *drainer
 }
 
 // New makes an edge node and begins to listen.
 func New(cfg Config) (*Node, error) {
-	socks := newSockets(cfg.Sockets)
+	apart := socketsApart
+	if cfg.Console != "" {
+		apart += consolePlaces
+	}
+	socks := newSockets(cfg.Sockets - apart)
+	counts := newStats(cfg.Settings.Classes)
 	up := newUpstream(cfg.Connect, cfg.Keepalive, socks)
-	l, err := newLoop(cfg, up)
+	l, err := newLoop(cfg, up, counts)
 	if err != nil {
 		return nil, err
 	}
-	tcp, err := net.Listen("tcp", cfg.Listen)
+	tcp, inherited, err := listen(cfg)
 	if err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{front: newFront(cfg.Settings, l, socks), loop: l, upstream: up, known: cfg.Known,
-		listener: &countedListener{tcp, ctx, socks}, listening: cancel,
-		most: drainMost(cfg.Settings.Classes)}
+	n := &Node{front: newFront(cfg.Settings, l, socks, counts), loop: l, upstream: up, known: cfg.Known,
+		listener: &countedListener{tcp, ctx, socks}, listening: cancel, inherited: inherited,
+		most: drainMost(cfg.Settings.Classes), stats: counts}
+	n.drainer = &drainer{front: n.front}
+	if cfg.Console != "" {
+		if n.console, err = newConsole(cfg.Console, n); err != nil {
+			cancel()
+			tcp.Close()
+			return nil, err
+		}
+	}
 	n.discovery = newWatcher(cfg.Discovery, cfg.Known.Rev, func(news listing) {
 		kind := control.Patch
 		if news.All {
@@ -84,6 +102,7 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer end()
+	defer n.drainer.over()
 	work, stop := context.WithCancel(life)
 	defer stop()
 	parts.Go(func() { n.loop.run(work) })
@@ -94,6 +113,9 @@
 	parts.Go(func() { n.discovery.run(life) })
 	parts.Go(func() { n.upstream.sweep(life) })
 	parts.Go(func() { n.report(life) })
+	if n.console != nil {
+		parts.Go(func() { n.console.run(life) })
+	}
 	srv := n.front.server()
 	served := make(chan error, 1)
 	parts.Go(func() { served <- srv.Serve(n.listener) })
@@ -135,31 +157,40 @@
 	return min(longest, deadlineMost) + drainMargin
 }
 
-// drain lets go of the clients. The front goes by /healthz; the connections it has it may go on
+// drain ends the process. The front goes by /healthz; the connections it has it may go on
 // using for as long as they are open, and while another edge node restarts too, some customers
 // have no other. So the node serves as before for a while, then each answer closes its
-// connection, and the node ends when all that it holds is answered.
+// connection, and the node ends when all that it holds is answered. Where another process shares
+// the socket, that one takes all that comes: this one takes nothing new and lets go at once.
 func (n *Node) drain(srv *http.Server, stop context.CancelFunc) error {
-	slog.Info("draining")
 	begun := time.Now()
-	n.front.draining.Store(true)
 	serve := max(n.most-drainServe, 0)
-	steps := []struct {
-		at time.Duration
-		do func()
-	}{
-		{serve, func() { n.front.closing.Store(true); srv.SetKeepAlivesEnabled(false) }},
-		{serve + drainClose, func() { n.finish(srv, n.most-serve-drainClose) }},
+	slog.Info("draining", "shared", n.inherited)
+	if n.inherited {
+		n.listening()
+		if err := n.listener.Close(); err != nil {
+			slog.Warn("closing the clients' socket", "err", err)
+		}
+		n.drainer.end(0, serve, true)
+	} else {
+		n.drainer.end(serve, drainClose, false)
 	}
-	for _, s := range steps {
+	look := time.NewTicker(drainLook)
+	defer look.Stop()
+	for over := time.After(serve + drainClose); ; {
 		select {
-		case <-time.After(time.Until(begun.Add(s.at))):
-			s.do()
+		case <-look.C:
+			if !n.inherited || n.front.conns.Load() > 0 {
+				continue
+			}
+		case <-over:
 		case <-n.loop.ended:
 			n.finish(srv, drainWrite)
 			return n.loop.failed
 		}
+		break
 	}
+	n.finish(srv, n.most-time.Since(begun))
 	stop() // answers what is still held as failed
 	<-n.loop.ended
 	n.finish(srv, drainWrite)
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -28,9 +31,32 @@
 	evictServer func(keep int) bool
 }
 
+// listen takes clients at the address of the configuration, or on the inherited socket where one
+// is named. That one is never shut down: closing a copy leaves it to the other processes.
+func listen(cfg Config) (l net.Listener, inherited bool, err error) {
+	if cfg.SocketFD == 0 {
+		l, err = net.Listen("tcp", cfg.Listen)
+		return l, false, err
+	}
+	fd := cfg.SocketFD
+	if on, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || on == 0 {
+		return nil, true, fmt.Errorf("descriptor %d is no listening socket (%v)", fd, err)
+	}
+	f := os.NewFile(uintptr(fd), "clients")
+	defer f.Close()
+	if l, err = net.FileListener(f); err != nil {
+		return nil, true, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		l.Close()
+		return nil, true, fmt.Errorf("descriptor %d is no TCP socket", fd)
+	}
+	return l, true, nil
+}
+
 func newSockets(limit int) *sockets {
 	s := &sockets{evictClient: func() bool { return false }, evictServer: func(int) bool { return false }}
-	s.most.Store(int64(max(limit-socketsApart, 2*socketsAhead)))
+	s.most.Store(int64(max(limit, 2*socketsAhead)))
 	return s
 }
 
@@ -90,3 +116,25 @@
 	}
 	return &counted{Conn: c, sockets: l.sockets}, nil
 }
+
+// silent tells whether nothing that was sent on a connection waits to be read, without reading it.
+func silent(c net.Conn) bool {
+	if k, ok := c.(*counted); ok {
+		c = k.Conn
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	quiet := true
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err != nil || n <= 0
+	})
+	return err != nil || quiet
+}
--- /dev/null
+++ b/internal/node/stats.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync/atomic"
+
+	"martennotch/control"
+)
+
+// stats are the figures that operators read. They are the one place that counts what became of
+// requests; whoever decides an outcome counts it here, once. All are atomics, so that reading
+// them waits for nobody.
+type stats struct {
+	tiers    []string // the classes in order
+	of       map[string]*tierStats
+	calls    atomic.Int64 // attempts written whole to app servers
+	inflight atomic.Int64 // requests taken and not ended
+	listed   atomic.Int64 // app servers in the list
+	down     atomic.Int64 // those of them that the module avoids
+}
+
+// tierStats are the counts of one class's requests.
+type tierStats struct{ success, busy, failure atomic.Int64 }
+
+func newStats(classes []control.Class) *stats {
+	s := &stats{of: make(map[string]*tierStats, len(classes))}
+	for _, k := range classes {
+		s.tiers = append(s.tiers, k.Name)
+		s.of[k.Name] = &tierStats{}
+	}
+	slices.Sort(s.tiers)
+	return s
+}
+
+// answered counts a final answer that was written to its client.
+func (s *stats) answered(class string, status int) {
+	t := s.of[class]
+	switch status {
+	case http.StatusOK:
+		t.success.Add(1)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		t.busy.Add(1)
+	default:
+		t.failure.Add(1)
+	}
+}
+
+// write gives the figures in the text form of Prometheus.
+func (s *stats) write(w io.Writer) {
+	for _, m := range []struct {
+		name, help string
+		of         func(*tierStats) *atomic.Int64
+	}{
+		{"node_success_total", "Requests served.", func(t *tierStats) *atomic.Int64 { return &t.success }},
+		{"node_busy_total", "Requests refused.", func(t *tierStats) *atomic.Int64 { return &t.busy }},
+		{"node_failure_total", "Requests failed.", func(t *tierStats) *atomic.Int64 { return &t.failure }},
+	} {
+		fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s counter\n", m.name, m.help, m.name)
+		for _, name := range s.tiers {
+			fmt.Fprintf(w, "%s{tier=%q} %d\n", m.name, name, m.of(s.of[name]).Load())
+		}
+	}
+	for _, m := range []struct {
+		name, kind, help string
+		value            *atomic.Int64
+	}{
+		{"node_backend_calls_total", "counter", "Attempts written whole to rating servers.", &s.calls},
+		{"node_inflight", "gauge", "Requests taken and not ended.", &s.inflight},
+		{"node_hosts_listed", "gauge", "Rating servers in the list.", &s.listed},
+		{"node_hosts_down", "gauge", "Listed rating servers that are avoided now.", &s.down},
+	} {
+		fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n%s %d\n", m.name, m.help, m.name, m.kind, m.name, m.value.Load())
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -183,8 +183,9 @@
 	p.idle = nil
 }
 
-// try makes one attempt: it waits until ctx ends at the most.
-func (u *upstream) try(ctx context.Context, p *pool, req *http.Request) outcome {
+// try makes one attempt: it waits until ctx ends at the most. It tells when the request's last
+// byte has gone out.
+func (u *upstream) try(ctx context.Context, p *pool, req *http.Request, written func()) outcome {
 	c, err := u.get(ctx, p)
 	if errors.Is(err, errNoDescriptor) { // speaks against no app server
 		return outcome{reason: control.Moot, err: err}
@@ -215,6 +216,7 @@
 	if err := c.w.Flush(); err != nil {
 		return outcome{reason: control.ConnectFailed, err: err}
 	}
+	written()
 	var o outcome
 	o, keep = c.read(req)
 	if o.err != nil && ctx.Err() != nil {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -74,7 +74,7 @@
 			u := newUpstream(patience, patience, newSockets(1024))
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
-			if o := u.try(ctx, u.pool(endpoint), message(t, []byte("body"))); o.reason != tc.want {
+			if o := u.try(ctx, u.pool(endpoint), message(t, []byte("body")), func() {}); o.reason != tc.want {
 				t.Errorf("%d (%v), not %d", o.reason, o.err, tc.want)
 			} else if o.reason == control.OK && string(o.body) != "ok" {
 				t.Errorf("body %q", o.body)
@@ -100,7 +100,7 @@
 	u := newUpstream(patience, patience, newSockets(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if o := u.try(ctx, u.pool(l.Addr().String()), message(t, make([]byte, 64<<20))); o.reason != control.ConnectFailed {
+	if o := u.try(ctx, u.pool(l.Addr().String()), message(t, make([]byte, 64<<20)), func() {}); o.reason != control.ConnectFailed {
 		t.Errorf("%d (%v)", o.reason, o.err)
 	}
 }
@@ -124,7 +124,7 @@
 			u := newUpstream(patience, patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			if o := u.try(ctx, u.pool(l.Addr().String()), message(t, tc.body)); o.reason != tc.want {
+			if o := u.try(ctx, u.pool(l.Addr().String()), message(t, tc.body), func() {}); o.reason != tc.want {
 				t.Errorf("%d (%v), not %d", o.reason, o.err, tc.want)
 			}
 			if n := socks.open.Load(); n != 0 {
@@ -146,7 +146,7 @@
 		cancel()
 	}()
 	u := newUpstream(patience, patience, newSockets(1024))
-	if o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.Cancelled {
+	if o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil), func() {}); o.reason != control.Cancelled {
 		t.Errorf("%d (%v)", o.reason, o.err)
 	}
 }
@@ -174,7 +174,7 @@
 		t.Helper()
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		if o := u.try(ctx, p, message(t, nil)); o.reason != control.OK {
+		if o := u.try(ctx, p, message(t, nil), func() {}); o.reason != control.OK {
 			t.Fatalf("%d (%v)", o.reason, o.err)
 		}
 	}
@@ -227,7 +227,7 @@
 	socks := newSockets(0)
 	socks.most.Store(0)
 	u := newUpstream(patience, patience, socks)
-	if o := u.try(context.Background(), u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.Moot || a.count() > 0 {
+	if o := u.try(context.Background(), u.pool(a.Listener.Addr().String()), message(t, nil), func() {}); o.reason != control.Moot || a.count() > 0 {
 		t.Errorf("%d (%v)", o.reason, o.err)
 	}
 }
@@ -241,7 +241,7 @@
 	u := newUpstream(patience, 2*patience, socks)
 	for _, x := range []*app{a, b, a} {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		if o := u.try(ctx, u.pool(x.Listener.Addr().String()), message(t, nil)); o.reason != control.OK {
+		if o := u.try(ctx, u.pool(x.Listener.Addr().String()), message(t, nil), func() {}); o.reason != control.OK {
 			t.Errorf("%d (%v)", o.reason, o.err)
 		}
 		cancel()
@@ -274,7 +274,7 @@
 			u := newUpstream(patience, patience, socks)
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
-			o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil))
+			o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil), func() {})
 			if o.reason != control.ResetByPeer || ctx.Err() != nil {
 				t.Errorf("%d (%v)", o.reason, o.err)
 			}
@@ -296,7 +296,7 @@
 	u := newUpstream(patience, patience, newSockets(1024))
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.OK || string(o.body) != "ok" {
+	if o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil), func() {}); o.reason != control.OK || string(o.body) != "ok" {
 		t.Errorf("%d (%v) %q", o.reason, o.err, o.body)
 	}
 }
@@ -317,7 +317,7 @@
 	p := u.pool(a.Listener.Addr().String())
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		if o := u.try(ctx, p, message(t, nil)); o.reason != control.OK || string(o.body) != "ok" {
+		if o := u.try(ctx, p, message(t, nil), func() {}); o.reason != control.OK || string(o.body) != "ok" {
 			t.Errorf("%d (%v) %q", o.reason, o.err, o.body)
 		}
 		cancel()
@@ -346,7 +346,7 @@
 	p := u.pool(a.Listener.Addr().String())
 	for i := range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
-		o := u.try(ctx, p, message(t, nil))
+		o := u.try(ctx, p, message(t, nil), func() {})
 		cancel()
 		if o.reason != control.OK || string(o.body) != "ok" {
 			t.Errorf("%d (%v) %q", o.reason, o.err, o.body)
