Stream long bodies and answers under one bound, and end messages that stand still

Bodies refused at their head, answers over 64 KiB cut off as resets were the cause; ruled out: stalls of servers (none in the logs) and memory.

--- a/control/api.go
+++ b/control/api.go
@@ -162,14 +162,25 @@
 	SetStart int // index of the first of them
 	Repeat   bool
 	Write    bool
+	Long     bool // its body goes on as it comes: Written tells when it is whole
 }
 
-// Started tells that a streamed answer has begun.
+// Written tells that an attempt of a Long request is written whole: only now its server begins
+// the work, and the client's time runs.
+type Written struct {
+	ID string
+	N  int
+}
+
+// Started tells that a streamed answer has begun. What its head tells comes here, as the rest
+// may take long.
 type Started struct {
 	ID     string
 	N      int
 	Server uint32
 	Delay  time.Duration
+	Cost   float64 // true units; 0 is not told
+	Used   int     // as in Response
 }
 
 // Response tells how an attempt ended.
@@ -179,6 +190,7 @@
 	Server uint32
 	Reason Reason
 	Done   bool // the request has its final answer
+	Spent  bool // the request can't be sent again: part of its body is gone
 	Delay  time.Duration
 	Cost   float64 // true units; 0 is not told
 	Used   int     // 1 + percent of the quota used in the last metered period; 0 is not told
@@ -215,6 +227,7 @@
 
 func (List) isEvent()        {}
 func (Request) isEvent()     {}
+func (Written) isEvent()     {}
 func (Started) isEvent()     {}
 func (Response) isEvent()    {}
 func (Hangup) isEvent()      {}
--- a/control/control.go
+++ b/control/control.go
@@ -421,7 +421,7 @@
 		c.refuse(e.ID)
 		return
 	}
-	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, arrived: c.now,
+	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, long: e.Long, arrived: c.now,
 		aim: c.now + k.Aim - waited, giveUp: c.now + e.TTL}
 	c.reqs[r.id] = r
 	c.retries = math.Min(retryMost, c.retries+retryEarn)
@@ -572,7 +572,7 @@
 	if r.group == nil && r.class.Effect == Guarded {
 		r.firstRun = c.now
 	}
-	if s.inflight == 0 {
+	if s.working() == 0 {
 		s.heard = c.now
 	}
 	if s.coldRamp {
@@ -627,10 +627,10 @@
 		age := (c.now - s.latencyAt).Seconds()
 		lat = base + (s.latency-base)*math.Exp(-age/latencyAge)
 	}
-	if s.inflight > 0 { // a server that is silent is at least as slow as its silence
+	if s.working() > 0 { // a server that is silent is at least as slow as its silence
 		lat = math.Max(lat, (c.now - s.heard).Seconds())
 	}
-	n := float64(s.inflight + s.ghosts)
+	n := float64(s.working() + s.ghosts)
 	cost := lat * (n + 1)
 	if s.coldRamp {
 		cost /= c.warmth(s)
@@ -674,7 +674,7 @@
 		return true
 	}
 	w := c.warmth(s)
-	if float64(s.inflight+s.ghosts) >= math.Max(1, math.Floor(w*perServer)) {
+	if float64(s.working()+s.ghosts) >= math.Max(1, math.Floor(w*perServer)) {
 		return false
 	}
 	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
@@ -706,11 +706,26 @@
 	if a == nil || a.req.streaming {
 		return
 	}
+	c.written(a)
 	a.req.streaming = true
 	c.streams++
+	a.srv.streams++
+	a.srv.heard = c.now
+	if e.Used > 0 && c.set.MeterPeriod > 0 {
+		c.meter(a.cust, e.Used, a.req.units)
+	}
+	c.settleUnits(a, e.Cost)
 	c.answered(a, e.Delay)
 }
 
+// settleUnits takes the true units of a request from its customer's store in place of the guess.
+func (c *Controller) settleUnits(a *attempt, cost float64) {
+	if cost > 0 && c.set.CostAfter {
+		c.refill(a.cust)
+		a.cust.level -= cost - a.req.units
+	}
+}
+
 func (c *Controller) onResponse(e Response) {
 	a := c.settle(attemptKey{e.ID, e.N})
 	if a == nil {
@@ -735,7 +750,7 @@
 	case e.Done:
 		c.forget(r)
 	case !r.queued && r.out == 0:
-		c.again(r, a, e.Reason)
+		c.again(r, a, e)
 	}
 }
 
@@ -750,10 +765,7 @@
 		if !s.coldRamp {
 			c.served += r.units
 		}
-		if e.Cost > 0 && c.set.CostAfter {
-			c.refill(a.cust)
-			a.cust.level -= e.Cost - r.units
-		}
+		c.settleUnits(a, e.Cost)
 		if !r.streaming {
 			c.answered(a, c.now-a.sent)
 		}
@@ -768,6 +780,8 @@
 			c.strike(s, 1)
 		}
 		s.probing = false
+	case Moot: // says nothing of the server, which may be tried anew
+		s.probing = false
 	case TimedOut:
 		c.strike(s, 1)
 		c.sawLatency(s, took)
@@ -811,12 +825,12 @@
 // retry budget and its time allow one; else it ends it. What failed at once took little of the
 // fleet's work, and little of the budget goes for it. Guards against a storm of errors that uses
 // the budget up while most servers still serve half of what they are sent.
-func (c *Controller) again(r *request, a *attempt, why Reason) {
-	price := 1.0
+func (c *Controller) again(r *request, a *attempt, e Response) {
+	price, why := 1.0, e.Reason
 	if why == Errored || why == ResetByPeer || why == ConnectFailed {
 		price = math.Min(1, math.Max(retryLeast, (c.now-a.sent).Seconds()/math.Max(c.latency, tiny)))
 	}
-	ok := why != Moot && c.retries >= price && c.now < r.giveUp-time.Millisecond &&
+	ok := why != Moot && !e.Spent && c.retries >= price && c.now < r.giveUp-time.Millisecond &&
 		(c.set.SendCap == 0 || r.sends < c.set.SendCap)
 	if r.mayRun && r.class.Effect != Free {
 		ok = ok && r.class.Effect == Guarded && c.now < r.firstRun+r.class.RepeatWindow
--- /dev/null
+++ b/control/long_test.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// askLong asks with a body that goes on as it comes.
+func (g *gate) askLong(id string) {
+	g.t.Helper()
+	g.do(Request{ID: id, Class: "job", Plan: "low", Customer: "c", TTL: 5 * time.Second, Units: 1, Spread: 2, Long: true})
+}
+
+// A body that a slow client still sends takes no place under the bound and speaks against no
+// server; the client's time runs from its end.
+func TestLongRequestLoadsNobodyUntilWritten(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	for i := range 50 {
+		g.askLong(fmt.Sprint("l", i))
+	}
+	if len(g.sends) != 50 || g.c.busyNow() != 0 {
+		t.Fatalf("%d sent on, %g at work", len(g.sends), g.c.busyNow())
+	}
+	g.pass(8 * time.Second) // longer than a client waits for an answer
+	if len(g.ends) > 0 {
+		t.Errorf("ended while their clients send: %v", g.ends)
+	}
+	if n := g.c.Avoided(g.now); n != 0 {
+		t.Errorf("%d servers are avoided for what clients do", n)
+	}
+	for i := range 2 {
+		g.do(Written{ID: fmt.Sprint("l", i)})
+	}
+	if g.c.busyNow() != 2 {
+		t.Errorf("%g at work, not the 2 written", g.c.busyNow())
+	}
+	g.pass(100 * ms)
+	g.do(Response{ID: "l0", Server: g.sends[0].Server, Reason: OK, Done: true})
+	if l := g.c.latency; l < 0.09 || l > 0.2 {
+		t.Errorf("a latency of %g s, not from the last byte", l)
+	}
+	g.do(Response{ID: "l2", Server: g.sends[2].Server, Reason: Moot, Done: true})
+	if g.c.busyNow() != 1 {
+		t.Errorf("%g at work, not 1", g.c.busyNow())
+	}
+}
+
+// A request of which a part is gone is not sent again, also where its class would allow it.
+func TestSpentRequestIsNotSentAgain(t *testing.T) {
+	for _, spent := range []bool{false, true} {
+		g := newGate(t, settings(), on(1, 2)...)
+		g.askLong("a")
+		g.do(Response{ID: "a", Server: g.sends[0].Server, Reason: ConnectFailed, Spent: spent})
+		if again := len(g.sends) == 2; again == spent {
+			t.Errorf("spent %v: sent again %v", spent, again)
+		}
+		if _, refused := g.ends["a"].(Refuse); refused != spent {
+			t.Errorf("spent %v: ended with %v", spent, g.ends["a"])
+		}
+	}
+}
+
+// The server of an answer that has begun has done its work: what its client takes is no load, and
+// what the answer's head tells counts at once.
+func TestAnswerThatStreamsLoadsNobody(t *testing.T) {
+	s := settings()
+	s.CostAfter = true
+	g := newGate(t, s, on(1)...)
+	g.ask("a", "job", "low", "c")
+	g.pass(50 * ms)
+	q := g.c.custs["low c"]
+	level := q.level
+	g.do(Started{ID: "a", Server: 1, Delay: 50 * ms, Cost: 11, Used: 1})
+	if d := level - q.level; d < 7 || d > 11 {
+		t.Errorf("%g units settled, not about 10", d)
+	}
+	if !q.metered {
+		t.Error("the use told in the head is not read")
+	}
+	g.pass(20 * time.Second)
+	if srv := g.c.servers[1]; g.c.busyNow() != 0 || srv.working() != 0 {
+		t.Errorf("%g at work, %d at the server", g.c.busyNow(), srv.working())
+	}
+	g.do(Response{ID: "a", Server: 1, Reason: OK, Done: true})
+	if srv := g.c.servers[1]; g.c.inflight != 0 || g.c.streams != 0 || srv.inflight != 0 || srv.streams != 0 {
+		t.Error("an answer's end is not booked")
+	}
+}
+
+// A trial that came to nothing leaves its server open to the next one.
+func TestMootTrialIsMadeAnew(t *testing.T) {
+	g := newGate(t, settings(), on(1)...)
+	g.ask("a", "job", "low", "c")
+	g.reply("a", ConnectFailed, 0)
+	g.pass(10 * time.Second)
+	g.ask("b", "job", "low", "c")
+	g.reply("b", Moot, 0)
+	if n := g.c.Avoided(g.now); n != 0 {
+		t.Errorf("%d servers avoided for a trial that was not made", n)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -35,6 +35,7 @@
 	giveUp    time.Duration
 	queued    bool
 	streaming bool
+	long      bool
 	sends     int // attempts started
 	out       int // attempts outstanding
 	tried     []uint32
@@ -48,7 +49,9 @@
 	req  *request
 	srv  *server
 	cust *customer
-	sent time.Duration
+	sent time.Duration // written whole
+	// Its request is still being written: it loads nobody yet.
+	loading bool
 }
 
 // ghost is work that is taken to go on at a server after its attempt has ended.
@@ -127,7 +130,7 @@
 type server struct {
 	Member
 	listed            bool
-	inflight          int
+	inflight, streams int     // attempts at work, and those of them whose answer has begun
 	ghosts            int     // attempts given up whose work is taken to go on
 	latency           float64 // s
 	latencyAt         time.Duration
@@ -198,7 +201,7 @@
 	order    []*server
 	label    uint64
 
-	inflight, streams int
+	inflight, streams int // attempts at work, and those of them whose answer has begun
 	ghosts            []ghost
 	bound             float64
 	span                      // counts of the interval
@@ -361,6 +364,8 @@
 		c.onList(e)
 	case Request:
 		c.onRequest(e)
+	case Written:
+		c.written(c.attempts[attemptKey{e.ID, e.N}])
 	case Started:
 		c.onStarted(e)
 	case Response:
@@ -403,15 +408,35 @@
 
 // record books an attempt that starts now.
 func (c *Controller) record(r *request, s *server) {
-	c.attempts[attemptKey{r.id, r.sends}] = &attempt{req: r, srv: s, cust: r.cust, sent: c.now}
+	c.attempts[attemptKey{r.id, r.sends}] = &attempt{req: r, srv: s, cust: r.cust, sent: c.now, loading: r.long}
 	r.sends++
 	r.out++
 	r.tried = append(r.tried, s.Server)
-	s.inflight++
-	c.inflight++
+	if !r.long {
+		s.inflight++
+		c.inflight++
+	}
 	r.cust.open++
 }
 
+// written books that the work on an attempt begins now. The time until then was the client's.
+func (c *Controller) written(a *attempt) {
+	if a == nil || !a.loading {
+		return
+	}
+	if a.srv.working() == 0 {
+		a.srv.heard = c.now
+	}
+	a.loading = false
+	a.srv.inflight++
+	c.inflight++
+	took := c.now - a.sent
+	a.sent = c.now
+	for _, t := range []*time.Duration{&a.req.arrived, &a.req.aim, &a.req.giveUp} {
+		*t += took
+	}
+}
+
 // settle books the end of an attempt; it gives nil where there is none of that name.
 func (c *Controller) settle(key attemptKey) *attempt {
 	a := c.attempts[key]
@@ -420,11 +445,15 @@
 	}
 	delete(c.attempts, key)
 	a.req.out--
+	a.cust.open--
+	if a.loading {
+		return a
+	}
 	a.srv.inflight--
 	c.inflight--
-	a.cust.open--
 	if a.req.streaming {
 		c.streams--
+		a.srv.streams--
 	}
 	return a
 }
@@ -435,6 +464,10 @@
 	p.lateN++
 }
 
+// working counts the attempts that keep a server at work: one whose answer has begun waits for its
+// client at most.
+func (s *server) working() int { return s.inflight - s.streams }
+
 func (c *Controller) count(is func(*server) bool) float64 {
 	n := 0.0
 	for _, s := range c.order {
--- /dev/null
+++ b/internal/node/body.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	bodyStall    = 2500 * time.Millisecond // silence of a client within a body
+	clientStall  = 4 * time.Second         // for which a client may take nothing of its answer
+	discardMost  = 10 * time.Second        // for which the rest of a refused body is taken and dropped
+	discardStall = time.Second
+)
+
+var (
+	errLong    = errors.New("a message of more than 32 MB")
+	errLeft    = errors.New("the client has left")
+	errNoBody  = errors.New("the client's body has ended early")
+	errStopped = errors.New("the body is wanted no more")
+	past       = time.Unix(1, 0)
+)
+
+// clientBody reads a client's body, for as long as it moves.
+type clientBody struct {
+	src   io.Reader
+	limit *http.ResponseController
+	whole func()      // called at its end
+	spent atomic.Bool // something was read that is not held
+
+	mu      sync.Mutex
+	stopped bool
+	fault   error // why it can't be read to its end
+	ended   bool
+	total   int64
+	broken  chan struct{} // closed with a fault
+}
+
+func newClientBody(src io.Reader, limit *http.ResponseController) *clientBody {
+	return &clientBody{src: src, limit: limit, whole: func() {}, broken: make(chan struct{})}
+}
+
+func (b *clientBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	switch {
+	case b.ended:
+		b.mu.Unlock()
+		return 0, io.EOF
+	case b.fault != nil || b.stopped:
+		b.mu.Unlock()
+		return 0, errNoBody
+	}
+	b.limit.SetReadDeadline(time.Now().Add(bodyStall))
+	b.mu.Unlock()
+
+	n, err := b.src.Read(p)
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.total += int64(n); b.total > longMost && err == nil {
+		err = errLong
+	}
+	switch {
+	case err == io.EOF:
+		b.ended = true
+		b.limit.SetReadDeadline(time.Time{})
+		b.whole()
+	case err != nil && b.stopped:
+		err = errStopped
+	case err != nil:
+		b.fault = err
+		close(b.broken)
+	}
+	return n, err
+}
+
+// stop ends a read that waits for the client.
+func (b *clientBody) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped = true; !b.ended {
+		b.limit.SetReadDeadline(past)
+	}
+}
+
+// mistake is what a client is told of a body that could not be read.
+func (b *clientBody) mistake() *badRequest {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case errors.Is(b.fault, errLong):
+		return bad(http.StatusRequestEntityTooLarge, "%v", errLong)
+	case errors.Is(b.fault, os.ErrDeadlineExceeded):
+		return bad(http.StatusRequestTimeout, "the body came to a halt")
+	}
+	return bad(http.StatusBadRequest, "reading the body: %v", b.fault)
+}
+
+// discard takes what the client still sends. Guards against a reset, by closing on data unread,
+// that takes the answer from a client which reads it after it has sent all.
+func (b *clientBody) discard(r *http.Request) {
+	b.mu.Lock()
+	// A client that awaits a word before it sends its body has had another one.
+	over := b.ended || b.fault != nil || b.total == 0 && r.Header.Get("Expect") != ""
+	b.mu.Unlock()
+	if over {
+		return
+	}
+	piece := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(piece)
+	for end := time.Now().Add(discardMost); time.Now().Before(end); {
+		b.limit.SetReadDeadline(time.Now().Add(discardStall))
+		if _, err := b.src.Read(piece[:]); err != nil {
+			return
+		}
+	}
+}
+
+// take reads up to most bytes and tells whether the body has ended with them.
+func (b *clientBody) take(most int) (held []byte, whole bool, err error) {
+	held = make([]byte, 0, min(most, freeSize))
+	for len(held) < most {
+		if len(held) == cap(held) {
+			held = append(held, 0)[:len(held)]
+		}
+		n, err := b.Read(held[len(held):min(cap(held), most)])
+		held = held[:len(held)+n]
+		if err == io.EOF {
+			return held, true, nil
+		} else if err != nil {
+			return nil, false, err
+		}
+	}
+	return held, false, nil
+}
+
+// clientConn is a client's connection that remembers the raw head of the request it carries.
+// net/http drops a Content-Length next to a Transfer-Encoding, and forgets that it was there.
+type clientConn struct {
+	counted
+	mu   sync.Mutex
+	head []byte
+	full bool // the head has ended, or is too long to be remembered
+}
+
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.counted.Read(p)
+	c.mu.Lock()
+	if !c.full && n > 0 {
+		from := max(len(c.head)-3, 0)
+		c.head = append(c.head, p[:n]...)
+		if i := bytes.Index(c.head[from:], []byte("\n\r\n")); i >= 0 {
+			c.head, c.full = c.head[:from+i+3], true
+		} else if i := bytes.Index(c.head[from:], []byte("\n\n")); i >= 0 {
+			c.head, c.full = c.head[:from+i+2], true
+		}
+		c.full = c.full || len(c.head) > headMost
+	}
+	c.mu.Unlock()
+	return n, err
+}
+
+// next forgets the head, for the next request.
+func (c *clientConn) next() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head, c.full = c.head[:0], false
+	if cap(c.head) > freeSize {
+		c.head = nil
+	}
+}
+
+// lengthAsWell tells whether the head of a request that is sent in chunks names a length too, or
+// is not known: it may have come with the request before it, as no proper client sends it.
+func (c *clientConn) lengthAsWell(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first, rest, ok := bytes.Cut(c.head, []byte("\n"))
+	if !ok || !bytes.HasPrefix(first, []byte(r.Method+" "+r.RequestURI+" ")) {
+		return true
+	}
+	for line := range bytes.Lines(rest) {
+		if name, _, ok := bytes.Cut(line, []byte(":")); ok && bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length")) {
+			return true
+		}
+	}
+	return false
+}
+
+type connKey struct{}
+
+// tune keeps the kernel's buffers small, so that the progress of a slow peer is seen and long
+// messages are not piled up there.
+func tune(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetReadBuffer(socketBuffer)
+		tcp.SetWriteBuffer(socketBuffer)
+	}
+}
+
+const socketBuffer = 64 << 10
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -23,9 +25,8 @@
 	timeLeftSlack = 50 * time.Millisecond // over a class's deadline
 	headMost      = 16 << 10
 	clientIdle    = 10 * time.Second
-	requestWithin = 2 * time.Second        // of a request's head and body
-	silentMost    = 250 * time.Millisecond // of a new connection where others want its place
-	answerWithin  = 2 * time.Second        // of the writing of an answer
+	headWithin    = 2600 * time.Millisecond // of a request's head
+	silentMost    = 250 * time.Millisecond  // of a new connection where others want its place
 	customersMost = 1 << 33
 )
 
@@ -48,6 +49,7 @@
 	conns                          atomic.Int64 // open now
 	sockets                        *sockets
 	stats                          *stats
+	budget                         *budget
 }
 
 // report gives the counts of the clients' side as attributes of a log line.
@@ -62,7 +64,7 @@
 func newFront(s control.Settings, l *loop, socks *sockets, counts *stats) *front {
 	f := &front{loop: l, classes: make(map[string]control.Class), plans: make(map[string]bool),
 		group: s.GroupSize, unitsTop: s.UnitsTop, idle: make(map[net.Conn]time.Time),
-		fresh: make(map[net.Conn]time.Time), sockets: socks, stats: counts}
+		fresh: make(map[net.Conn]time.Time), sockets: socks, stats: counts, budget: l.upstream.budget}
 	for _, k := range s.Classes {
 		f.classes[k.Name] = k
 	}
@@ -73,11 +75,13 @@
 	return f
 }
 
-// server is the HTTP server of the clients. An answer or a close is owed to each soon after
-// it has connected, so a request has to come whole in time; ServeHTTP then lifts the limit.
+// server is the HTTP server of the clients. An answer or a close is owed to each soon after it
+// has connected, so a head has to come whole in time; a body has to move.
 func (f *front) server() *http.Server {
 	return &http.Server{Handler: f, MaxHeaderBytes: headMost, IdleTimeout: clientIdle, ConnState: f.state,
-		ReadHeaderTimeout: requestWithin, ReadTimeout: requestWithin}
+		ReadHeaderTimeout: headWithin, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		}}
 }
 
 // state keeps track of the client connections on which no request is open.
@@ -89,6 +93,9 @@
 	switch s {
 	case http.StateIdle:
 		f.idle[c] = time.Now()
+		if k, ok := c.(*clientConn); ok {
+			k.next()
+		}
 	case http.StateNew:
 		f.fresh[c] = time.Now()
 		f.accepted.Add(1)
@@ -142,7 +149,7 @@
 
 // ServeHTTP holds a client's request until its final answer.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	limit := http.NewResponseController(w)
 	if r.URL.Path == "/healthz" {
 		status := http.StatusOK
 		if !f.ready.Load() || f.draining.Load() {
@@ -154,41 +161,111 @@
 		f.write(w, answer{status: status})
 		return
 	}
-	x, wrong := f.exchange(r, arrived)
+	if r.ContentLength != 0 {
+		// Of the answer before: it must not cut off the word that the body is awaited.
+		_ = limit.SetWriteDeadline(time.Now().Add(clientStall))
+	}
+	x, wrong := f.exchange(r, limit)
 	if wrong != nil {
-		f.wrong.Add(1)
-		w.Header().Set("Connection", "close")
-		f.write(w, answer{status: wrong.status, body: []byte(wrong.text + "\n")})
+		f.mistaken(w, wrong)
 		return
 	}
-	// net/http goes on reading while a request is held, to notice a hang-up; the limit on
-	// the request's own time must not end that.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	f.stats.inflight.Add(1)
-	defer f.stats.inflight.Add(-1)
-	f.loop.post(func() { f.loop.begin(x) })
-	var a answer
-	select {
-	case a = <-x.answer:
-	case <-r.Context().Done():
-		f.left.Add(1)
-		f.loop.post(func() { f.loop.hangup(x) })
+	defer x.held.shrink(0)
+	if x.rest == nil {
+		// net/http goes on reading while a request is held, to notice a hang-up; the limit on
+		// the body's own time must not end that.
+		_ = limit.SetReadDeadline(time.Time{})
+		x.take()
+	} else {
+		// An answer may come before the body is whole: net/http must not wait for its rest.
+		_ = limit.EnableFullDuplex()
+		defer x.rest.discard(r)
+	}
+	defer x.leave()
+	a, whole := f.await(w, r, x)
+	if a == nil {
 		return
-	case <-f.loop.ended:
-		a = answer{status: http.StatusBadGateway} // of one that came too late to be seen
+	}
+	if !whole {
+		f.stats.answered(x.req.Class, http.StatusBadGateway)
+		panic(http.ErrAbortHandler) // so that the client can tell
+	}
+	f.stats.answered(x.req.Class, a.status)
+}
+
+// await has a request decided and answered; nil is a client that has left. It tells whether the
+// answer is whole.
+func (f *front) await(w http.ResponseWriter, r *http.Request, x *exchange) (a *answer, whole bool) {
+	f.loop.post(func() { f.loop.begin(x) })
+	var got answer
+	for gone := r.Context().Done(); got.status == 0; {
 		select {
-		case a = <-x.answer:
-		default:
+		case got = <-x.answer:
+		case <-gone:
+			// net/http ends the context with any read that fails: that of a body tells itself
+			// what it was, or was stopped as the answer is there.
+			if x.rest != nil && !x.taken.Load() {
+				gone = nil
+				continue
+			}
+			f.left.Add(1)
+			f.loop.post(func() { f.loop.hangup(x) })
+			f.final(x).drop()
+			return nil, false
+		case <-x.broken():
+			f.loop.post(func() { f.loop.hangup(x) })
+			if got = f.final(x); got.status == 0 {
+				f.mistaken(w, x.rest.mistake())
+				return nil, false
+			}
+		case <-f.loop.ended:
+			got = f.final(x)
 		}
 	}
-	f.write(w, a)
-	f.stats.answered(x.req.Class, a.status)
+	if !x.taken.Load() {
+		w.Header().Set("Connection", "close") // its body is not whole
+	}
+	defer got.drop()
+	if got.stream != nil && x.taken.Load() {
+		defer context.AfterFunc(r.Context(), func() { got.stream.CloseWithError(errLeft) })()
+	}
+	err := f.write(w, got)
+	if x.rest != nil {
+		_ = http.NewResponseController(w).Flush()
+	}
+	if errors.Is(err, errLeft) {
+		f.left.Add(1)
+		return nil, false
+	}
+	return &got, err == nil
+}
+
+// final is the one answer of a request, also of one that came too late to be seen.
+func (f *front) final(x *exchange) answer {
+	select {
+	case a := <-x.answer:
+		return a
+	case <-f.loop.ended:
+	}
+	select {
+	case a := <-x.answer:
+		return a
+	default:
+		return answer{status: http.StatusBadGateway}
+	}
 }
 
-// write sends an answer, whatever it is.
-func (f *front) write(w http.ResponseWriter, a answer) {
-	// Guards against a client that takes nothing.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerWithin))
+// mistaken tells a client what it got wrong and lets it go.
+func (f *front) mistaken(w http.ResponseWriter, wrong *badRequest) {
+	f.wrong.Add(1)
+	w.Header().Set("Connection", "close")
+	f.write(w, answer{status: wrong.status, body: []byte(wrong.text + "\n")})
+}
+
+// write sends an answer, whatever it is, for as long as the client takes it. Another error than
+// errLeft is of an answer that has begun and can't be finished.
+func (f *front) write(w http.ResponseWriter, a answer) error {
+	limit := http.NewResponseController(w)
 	h := w.Header()
 	// Guards against requests that come on a held one's connection after the drain: what
 	// counts is whether the node lets go now, not when the request came.
@@ -206,9 +283,60 @@
 	if a.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	switch {
+	case a.stream == nil:
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	case a.length >= 0:
+		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
+	// Guards against a client that takes nothing: each piece has its own time.
+	_ = limit.SetWriteDeadline(time.Now().Add(clientStall))
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body) // a client that has left is noticed by its context
+	if a.stream == nil && len(a.body) <= freeSize {
+		if _, err := w.Write(a.body); err != nil {
+			return errLeft
+		}
+		return nil
+	}
+	send := func(b []byte) error {
+		_ = limit.SetWriteDeadline(time.Now().Add(clientStall))
+		if _, err := w.Write(b); err != nil {
+			return errLeft
+		}
+		if err := limit.Flush(); err != nil {
+			return errLeft
+		}
+		return nil
+	}
+	for part := range slices.Chunk(a.body, 2*freeSize) {
+		if err := send(part); err != nil {
+			a.close(err)
+			return err
+		}
+	}
+	if a.stream == nil {
+		return nil
+	}
+	if err := send(nil); err != nil {
+		a.close(err)
+		return err
+	}
+	piece := pieces.Get().(*[pieceSize]byte)
+	defer pieces.Put(piece)
+	for {
+		n, err := a.stream.Read(piece[:])
+		if n > 0 {
+			if err := send(piece[:n]); err != nil {
+				a.close(err)
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
 }
 
 // ownHeader tells whether a header speaks of one connection or hop only.
@@ -232,7 +360,7 @@
 }
 
 // exchange reads a client's request. The module must not hear of one that is wrong.
-func (f *front) exchange(r *http.Request, arrived time.Time) (*exchange, *badRequest) {
+func (f *front) exchange(r *http.Request, limit *http.ResponseController) (*exchange, *badRequest) {
 	if wrong := framing(r); wrong != nil {
 		return nil, wrong
 	}
@@ -256,7 +384,7 @@
 		class.Effect != control.Free && r.Method != http.MethodPost {
 		return nil, bad(http.StatusMethodNotAllowed, "%s: not a method of class %s", r.Method, e.Class)
 	}
-	if class.Effect == control.Free && r.ContentLength != 0 {
+	if class.Effect == control.Free && r.ContentLength > 0 {
 		return nil, bad(http.StatusBadRequest, "a body with %s", r.Method)
 	}
 	if class.Effect == control.Guarded && r.Header.Get(headerKey) == "" {
@@ -278,26 +406,80 @@
 	if err := f.weight(&e, r.Header.Get(headerWeight)); err != nil {
 		return nil, bad(http.StatusBadRequest, "%s: %v", headerWeight, err)
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return nil, bad(http.StatusBadRequest, "reading the body: %v", err)
+	x := &exchange{req: e, forward: forward(r), left: left - answerAhead, length: r.ContentLength,
+		answer: make(chan answer, 1), stats: f.stats}
+	if r.ContentLength != 0 {
+		if wrong := f.body(x, r, limit); wrong != nil {
+			return nil, wrong
+		}
+	}
+	if x.rest == nil {
+		x.length = int64(len(x.body))
+		x.deadline = time.Now().Add(x.left)
+	}
+	return x, nil
+}
+
+// body takes a short body whole. A longer one goes on as it comes: what is known to be long is
+// not begun, so that it costs a client that is refused nothing.
+func (f *front) body(x *exchange, r *http.Request, limit *http.ResponseController) *badRequest {
+	rest := newClientBody(r.Body, limit)
+	if r.ContentLength <= bodyMost {
+		most := bodyMost
+		if r.ContentLength > 0 {
+			most = int(r.ContentLength)
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), bodyStall)
+		defer cancel()
+		var err error
+		if x.held, err = hold(ctx, f.budget.bodies, int64(most)); err != nil {
+			return bad(http.StatusServiceUnavailable, "no room for the body")
+		}
+		var whole bool
+		if x.body, whole, err = rest.take(most); err == nil && !whole && r.ContentLength > 0 {
+			_, err = rest.Read(make([]byte, 1)) // its end
+			if whole = err == io.EOF; whole {
+				err = nil
+			}
+		}
+		if err != nil {
+			x.held.shrink(0)
+			return rest.mistake()
+		}
+		if whole {
+			if x.req.Write || len(x.body) == 0 {
+				return nil
+			}
+			x.held.shrink(0)
+			return bad(http.StatusBadRequest, "a body with %s", r.Method)
+		}
 	}
-	return &exchange{req: e, body: body, forward: forward(r), deadline: arrived.Add(left - answerAhead),
-		answer: make(chan answer, 1)}, nil
+	if !x.req.Write {
+		x.held.shrink(0)
+		return bad(http.StatusBadRequest, "a body with %s", r.Method)
+	}
+	x.rest, x.req.Long = rest, true
+	rest.whole = func() {
+		x.take()
+		at := time.Now()
+		f.loop.post(func() { f.loop.whole(x, at) })
+	}
+	return nil
 }
 
 // onceOnly are the headers by which a request is told from others.
 var onceOnly = []string{headerID, headerPlan, headerTimeLeft, headerWeight, headerRepeat, headerKey}
 
-// framing holds a request to what clients of the protocol send: a length. Guards against a
-// second request in the body of one that also has a Transfer-Encoding, for which net/http
-// drops the length, and against reading what is too long to be passed on.
+// framing tells where a request's body can't be told for certain, or is too long. Guards against
+// a second request in the body of one that has a length and a Transfer-Encoding.
 func framing(r *http.Request) *badRequest {
 	switch {
-	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
-		return bad(http.StatusLengthRequired, "a body needs a Content-Length and no Transfer-Encoding")
-	case r.ContentLength > bodyMost:
-		return bad(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", bodyMost)
+	case len(r.TransferEncoding) > 0:
+		if c, ok := r.Context().Value(connKey{}).(*clientConn); !ok || c.lengthAsWell(r) {
+			return bad(http.StatusBadRequest, "a Content-Length next to a Transfer-Encoding")
+		}
+	case r.ContentLength > longMost:
+		return bad(http.StatusRequestEntityTooLarge, "a body of more than %d bytes", longMost)
 	}
 	return nil
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -9,6 +9,8 @@
 	"maps"
 	"net/http"
 	"runtime/debug"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"martennotch/control"
@@ -23,38 +25,96 @@
 
 // exchange is one client request on its way to its final answer.
 type exchange struct {
-	req      control.Request // its TTL is set when the module is told
-	forward  *http.Request   // what goes on to app servers, without its body
-	body     []byte
-	deadline time.Time
-	answer   chan answer // holds the one final answer
-
-	// The loop's own.
-	done  bool // answered, or the client has left
-	sends int
-	out   int // attempts outstanding
-	stop  []context.CancelFunc
-	last  control.Reason
+	req     control.Request // its TTL is set when the module is told
+	forward *http.Request   // what goes on to app servers, without its body
+	body    []byte          // whole, or what comes before the rest
+	rest    *clientBody     // of a long body, which goes on as it comes; else nil
+	length  int64           // of the body; below 0 is not told
+	left    time.Duration   // of the client's time, from the request's last byte
+	held    *holding        // of the budget for bodies
+	answer  chan answer     // holds the one final answer
+	stats   *stats
+	taken   atomic.Bool // its last byte has come
+
+	// The loop's own, once it has begun.
+	deadline time.Time // zero until the body is whole
+	done     bool      // answered, or the client has left
+	sends    int
+	out      int // attempts outstanding
+	stop     []context.CancelCauseFunc
+	limit    []*time.Timer // end the attempts with the client's time; nil where it has not begun
+	last     control.Reason
 }
 
+// take counts the request as taken.
+func (x *exchange) take() {
+	if !x.taken.Swap(true) {
+		x.stats.inflight.Add(1)
+	}
+}
+
+// leave counts it as ended.
+func (x *exchange) leave() {
+	if x.taken.Load() {
+		x.stats.inflight.Add(-1)
+	}
+}
+
+// broken is closed where the body can't be read to its end.
+func (x *exchange) broken() <-chan struct{} {
+	if x.rest == nil {
+		return nil
+	}
+	return x.rest.broken
+}
+
+// spent tells whether a part of the body is gone.
+func (x *exchange) spent() bool { return x.rest != nil && x.rest.spent.Load() }
+
 // message is the request as one attempt sends it.
 func (x *exchange) message() *http.Request {
 	m := *x.forward
 	m.Header = maps.Clone(m.Header)
-	m.ContentLength = int64(len(x.body))
+	left := x.left
+	if !x.deadline.IsZero() {
+		left = time.Until(x.deadline)
+	}
+	m.Header.Set(headerTimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10)+"m")
+	m.ContentLength = x.length
 	m.Body = http.NoBody
-	if len(x.body) > 0 {
+	switch {
+	case x.rest != nil:
+		if x.length < 0 {
+			m.TransferEncoding = []string{"chunked"}
+		}
+	case len(x.body) > 0:
 		m.Body = io.NopCloser(bytes.NewReader(x.body))
 	}
 	return &m
 }
 
-// answer is the final answer of an exchange.
+// answer is the final answer of an exchange. One that streams has its first bytes in body.
 type answer struct {
 	status     int
 	header     http.Header
 	body       []byte
 	retryAfter time.Duration
+	stream     *io.PipeReader // the rest; nil is none
+	length     int64          // of one that streams, in all; below 0 is not told
+	held       *holding       // of the budget for answers; one that streams has none
+}
+
+// close tells the attempt behind an answer that streams that nobody takes it.
+func (a *answer) close(err error) {
+	if a.stream != nil {
+		a.stream.CloseWithError(err)
+	}
+}
+
+// drop gives back what an answer holds.
+func (a answer) drop() {
+	a.close(errLeft)
+	a.held.shrink(0)
 }
 
 // loop owns the controller and all that it is told of. Only its own goroutine
@@ -158,7 +218,7 @@
 		l.send(a)
 	case control.Withdraw:
 		if x := l.exchanges[a.ID]; x != nil && a.N < len(x.stop) {
-			x.stop[a.N]()
+			x.stop[a.N](context.Canceled)
 		}
 	case control.Refuse:
 		l.finishID(a.ID, answer{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter})
@@ -186,10 +246,22 @@
 		return
 	}
 	l.exchanges[x.req.ID] = x
-	x.req.TTL = time.Until(x.deadline)
+	if x.req.TTL = x.left; !x.deadline.IsZero() {
+		x.req.TTL = time.Until(x.deadline)
+	}
 	l.handle(x.req)
 }
 
+// whole notes that the last byte of a long body has come: from now on the client's time runs.
+func (l *loop) whole(x *exchange, at time.Time) {
+	x.deadline = at.Add(x.left)
+	for n, stop := range x.stop {
+		if x.limit[n] == nil {
+			x.limit[n] = time.AfterFunc(time.Until(x.deadline), func() { stop(context.DeadlineExceeded) })
+		}
+	}
+}
+
 // hangup notes that the client has left. Attempts that are out go on: their work
 // would not stop, and their outcomes teach.
 func (l *loop) hangup(x *exchange) {
@@ -231,36 +303,90 @@
 	}
 	n, to := x.sends, l.pools[a.Server]
 	x.sends++
-	until := x.deadline
-	if a.Within > 0 && time.Until(until) > a.Within {
-		until = time.Now().Add(a.Within)
+	var limit *time.Timer
+	ctx, stop := context.WithCancelCause(l.life)
+	if until := x.deadline; !until.IsZero() || a.Within > 0 {
+		left := time.Until(until)
+		if until.IsZero() || a.Within > 0 && a.Within < left {
+			left = a.Within
+		}
+		if left <= 0 {
+			stop(context.DeadlineExceeded)
+		} else {
+			limit = time.AfterFunc(left, func() { stop(context.DeadlineExceeded) })
+		}
 	}
-	ctx, cancel := context.WithDeadline(l.life, until)
-	x.stop = append(x.stop, cancel)
-	if to == nil || x.done || ctx.Err() != nil || l.sendCap > 0 && x.sends > l.sendCap {
-		cancel()
-		l.pending = append(l.pending, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: control.Moot, Done: x.done})
+	x.stop, x.limit = append(x.stop, stop), append(x.limit, limit)
+	if to == nil || x.done || ctx.Err() != nil || x.spent() || l.sendCap > 0 && x.sends > l.sendCap {
+		l.over(x, n)
+		l.pending = append(l.pending, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: control.Moot, Done: x.done, Spent: x.spent()})
 		return
 	}
 	x.out++
 	sent := time.Now()
+	t := &attempt{req: x.message(), first: x.body, rest: x.rest,
+		written: func() {
+			l.stats.calls.Add(1)
+			if x.rest != nil {
+				l.post(func() { l.handle(control.Written{ID: x.req.ID, N: n}) })
+			}
+		},
+		begin: func(o outcome, length int64) (to *io.PipeWriter) {
+			told := make(chan struct{})
+			if l.post(func() { to = l.started(x, n, a.Server, sent, o, length); close(told) }) {
+				select {
+				case <-told:
+				case <-l.ended:
+					return nil
+				}
+			}
+			return to
+		}}
 	go func() {
-		o := l.upstream.try(ctx, to, x.message(), func() { l.stats.calls.Add(1) })
-		cancel()
-		l.post(func() { l.settle(x, n, a.Server, sent, o) })
+		o := l.upstream.try(ctx, to, t)
+		if !l.post(func() { l.settle(x, n, a.Server, sent, o) }) {
+			o.held.shrink(0)
+		}
 	}()
 }
 
+// over ends what bounds an attempt.
+func (l *loop) over(x *exchange, n int) {
+	if x.limit[n] != nil {
+		x.limit[n].Stop()
+	}
+	x.stop[n](context.Canceled)
+}
+
+// started takes in that a good answer has begun that is not held: it is the final one. It gives
+// where the answer's rest goes, or nil where nobody waits for it.
+func (l *loop) started(x *exchange, n int, server uint32, sent time.Time, o outcome, length int64) *io.PipeWriter {
+	if x.done {
+		return nil
+	}
+	if x.limit[n] != nil {
+		x.limit[n].Stop() // its first bytes are in time; the rest takes what it takes
+	}
+	from, to := io.Pipe()
+	x.done = true
+	x.answer <- answer{status: http.StatusOK, header: o.header, body: o.body, stream: from, length: length}
+	l.handle(control.Started{ID: x.req.ID, N: n, Server: server, Delay: time.Since(sent), Cost: o.cost(l.unitsTop), Used: o.used()})
+	return to
+}
+
 // settle takes in how an attempt ended. The first good answer is the final one.
 func (l *loop) settle(x *exchange, n int, server uint32, sent time.Time, o outcome) {
+	l.over(x, n)
 	x.out--
 	x.last = o.reason
-	r := control.Response{ID: x.req.ID, N: n, Server: server, Reason: o.reason, Delay: time.Since(sent)}
-	if o.header != nil {
+	r := control.Response{ID: x.req.ID, N: n, Server: server, Reason: o.reason, Delay: time.Since(sent), Spent: x.spent()}
+	if o.header != nil && !o.begun {
 		r.Used, r.Cost, r.Load = o.used(), o.cost(l.unitsTop), o.load()
 	}
-	if o.reason == control.OK {
-		l.finish(x, answer{status: http.StatusOK, header: o.header, body: o.body})
+	if o.reason == control.OK && !x.done {
+		l.finish(x, answer{status: http.StatusOK, header: o.header, body: o.body, held: o.held})
+	} else {
+		o.held.shrink(0)
 	}
 	r.Done = x.done
 	l.release(x)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,7 @@
 	}
 	socks := newSockets(cfg.Sockets - apart)
 	counts := newStats(cfg.Settings.Classes)
-	up := newUpstream(cfg.Connect, cfg.Keepalive, socks)
+	up := newUpstream(cfg.Connect, cfg.Keepalive, socks, newBudget(cfg.MemoryMB))
 	l, err := newLoop(cfg, up, counts)
 	if err != nil {
 		return nil, err
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -114,12 +114,13 @@
 		l.sockets.open.Add(-1)
 		return nil, err
 	}
-	return &counted{Conn: c, sockets: l.sockets}, nil
+	tune(c)
+	return &clientConn{counted: counted{Conn: c, sockets: l.sockets}}, nil
 }
 
 // silent tells whether nothing that was sent on a connection waits to be read, without reading it.
 func silent(c net.Conn) bool {
-	if k, ok := c.(*counted); ok {
+	if k, ok := c.(*clientConn); ok {
 		c = k.Conn
 	}
 	sc, ok := c.(syscall.Conn)
