--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -126,8 +126,8 @@
 		}
 		if heard {
 			pause = backoffFirst
-			slog.Warn("discovery: watch ended", "rev", w.rev, "err", err)
 		}
+		slog.Warn("discovery: watch ended", "rev", w.rev, "heard", heard, "err", err)
 		select {
 		case <-ctx.Done():
 			return
@@ -191,6 +191,7 @@
 		return fmt.Errorf("discovery: version went back to %d", l.Rev)
 	}
 	w.rev = l.Rev
+	slog.Info("discovery: told", "rev", l.Rev, "all", l.All, "targets", len(l.Targets))
 	w.tell(l)
 	return nil
 }
