--- a/control/control.go
+++ b/control/control.go
@@ -554,6 +554,9 @@
 			r.cust.openHit = true
 			continue
 		}
+		if c.dropped(r) && c.now >= r.firstRun+r.class.RepeatWindow {
+			continue // its timer ends it
+		}
 		if s := c.pick(r); s != nil {
 			return r, s
 		}
@@ -833,7 +836,7 @@
 	ok := why != Moot && !e.Spent && c.retries >= price && c.now < r.giveUp-time.Millisecond &&
 		(c.set.SendCap == 0 || r.sends < c.set.SendCap)
 	if r.mayRun && r.class.Effect != Free {
-		ok = ok && r.class.Effect == Guarded && c.now < r.firstRun+r.class.RepeatWindow
+		ok = ok && c.dropped(r) && c.now < r.firstRun+r.class.RepeatWindow
 	}
 	if !ok {
 		c.tally.ended++
@@ -842,10 +845,18 @@
 	}
 	c.retries -= price
 	c.enqueue(r, true)
-	// Guards against a further attempt that waits in the queue beyond the client's time.
-	c.wake(r, r.giveUp-c.now-time.Millisecond)
+	// Guards against a further attempt that waits in the queue beyond the client's time, or beyond
+	// the time for which repeats are dropped.
+	until := r.giveUp
+	if c.dropped(r) {
+		until = min(until, r.firstRun+r.class.RepeatWindow)
+	}
+	c.wake(r, until-c.now-time.Millisecond)
 }
 
+// dropped tells whether a request may go again for a while only, in which repeats are dropped.
+func (c *Controller) dropped(r *request) bool { return r.mayRun && r.class.Effect == Guarded }
+
 // ---- time ----
 
 func (c *Controller) onTimer(label uint64) {
--- a/control/long_test.go
+++ b/control/long_test.go
@@ -100,3 +100,27 @@
 		t.Errorf("%d servers avoided for a trial that was not made", n)
 	}
 }
+
+// A repeat that waits for its turn is not sent once its repeats are no longer dropped.
+func TestQueuedRepeatEndsWithItsWindow(t *testing.T) {
+	s := settings()
+	s.Classes = append(s.Classes, Class{Name: "post", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1,
+		Effect: Guarded, KeyScope: ScopeZone, RepeatWindow: 500 * ms})
+	g := newGate(t, s, on(1)...)
+	g.ask("a", "post", "low", "c")
+	for i := range 20 { // more than the bound
+		g.ask(fmt.Sprint(i), "job", "low", "c")
+	}
+	g.c.bound = 0 // none more for now
+	g.pass(100 * ms)
+	g.reply("a", ResetByPeer, 0)
+	if g.ends["a"] != nil || g.n["a"] != 1 {
+		t.Fatalf("ended with %v after %d attempts", g.ends["a"], g.n["a"])
+	}
+	g.pass(500 * ms)
+	g.c.bound = 100
+	g.pass(100 * ms)
+	if _, failed := g.ends["a"].(Fail); !failed || g.n["a"] != 1 {
+		t.Errorf("ended with %v after %d attempts", g.ends["a"], g.n["a"])
+	}
+}
