--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,9 +18,12 @@
 
 const (
 	watchSilence  = 3 * time.Second // a heartbeat and a half: the watch is dead
-	watchAnswer   = 2 * time.Second // the agent answers at once or not at all
+	watchAnswer   = 3 * time.Second // the agent answers at once, or when discovery's line has moved
 	backoffFirst  = 100 * time.Millisecond
 	backoffMost   = 500 * time.Millisecond // the agent is near; its news counts as told after 4 s
+	herdLeast     = 8                      // nodes from which discovery's room is shared with care
+	herdTurn      = 100 * time.Millisecond // of discovery's time for each node of a herd
+	herdMost      = 4 * time.Second        // what discovery tells counts as told after 6 s
 	watchLineMost = 4 << 20
 )
 
@@ -70,20 +74,46 @@
 type watcher struct {
 	client  *http.Client
 	url     string
-	rev     int64
+	rev     int64 // of the list that is held; below 0 is none
 	silence time.Duration
 	tell    func(listing)
+	group   int                                    // nodes that share discovery
+	jitter  func(most time.Duration) time.Duration // a random part of a pause
+	pause   func(context.Context, time.Duration)   // waits
 
 	mu    sync.Mutex
 	next  string             // the address to move to; "" is none
 	leave context.CancelFunc // ends the stay at the present address
 }
 
-func newWatcher(addr string, rev int64, tell func(listing)) *watcher {
-	return &watcher{url: watchURL(addr), rev: rev, silence: watchSilence, tell: tell, leave: func() {},
+func newWatcher(addr string, known listing, group int, tell func(listing)) *watcher {
+	w := &watcher{url: watchURL(addr), rev: known.Rev, silence: watchSilence, tell: tell, leave: func() {}, group: group,
+		jitter: func(most time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(most) + 1)) },
+		pause: func(ctx context.Context, d time.Duration) {
+			t := time.NewTimer(d)
+			defer t.Stop()
+			select {
+			case <-ctx.Done():
+			case <-t.C:
+			}
+		},
 		client: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: watchAnswer,
 			DialContext:       (&net.Dialer{Timeout: watchAnswer}).DialContext,
 			DisableKeepAlives: true, DisableCompression: true}}}
+	if known.Rev == 0 && len(known.Targets) == 0 {
+		w.rev = noRev
+	}
+	return w
+}
+
+const noRev = -1
+
+// turns is how long discovery may take for one call of each node of the group.
+func (w *watcher) turns() time.Duration {
+	if w.group < herdLeast {
+		return 0
+	}
+	return min(time.Duration(w.group)*herdTurn, herdMost)
 }
 
 func watchURL(addr string) string { return "http://" + addr + "/v1/servers?watch=1" }
@@ -103,7 +133,7 @@
 	if w.next != "" {
 		// Guards against versions of one discovery held against those of another: the new
 		// one is asked for its whole list.
-		w.url, w.rev, w.next = watchURL(w.next), 0, ""
+		w.url, w.rev, w.next = watchURL(w.next), noRev, ""
 	}
 	ctx, w.leave = context.WithCancel(ctx)
 	return ctx
@@ -111,6 +141,10 @@
 
 // run watches until ctx ends.
 func (w *watcher) run(ctx context.Context) {
+	// Guards against a herd that starts at one moment: who has a list takes its turn.
+	if w.rev != noRev {
+		w.pause(ctx, w.jitter(w.turns()))
+	}
 	for ctx.Err() == nil {
 		w.stay(w.arrive(ctx))
 	}
@@ -118,22 +152,20 @@
 
 // stay watches at one address until ctx ends.
 func (w *watcher) stay(ctx context.Context) {
-	pause := backoffFirst
-	for {
+	first, most := backoffFirst, max(backoffMost, 2*w.turns())
+	first = max(first, w.turns()/2)
+	for next := first; ; next = min(2*next, most) {
 		heard, err := w.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if heard {
-			pause = backoffFirst
+			next = first
 		}
 		slog.Warn("discovery: watch ended", "rev", w.rev, "heard", heard, "err", err)
-		select {
-		case <-ctx.Done():
+		if w.pause(ctx, next/4+w.jitter(next*3/4)); ctx.Err() != nil {
 			return
-		case <-time.After(pause):
 		}
-		pause = min(2*pause, backoffMost)
 	}
 }
 
@@ -142,7 +174,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	url := w.url
-	if w.rev > 0 {
+	if w.rev != noRev {
 		url += "&from=" + strconv.FormatInt(w.rev, 10)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -187,11 +219,10 @@
 	}
 	if !l.All && l.Rev < w.rev {
 		// Guards against a discovery that began to count anew: its changes don't fit our list.
-		w.rev = 0
+		w.rev = noRev
 		return fmt.Errorf("discovery: version went back to %d", l.Rev)
 	}
 	w.rev = l.Rev
-	slog.Info("discovery: told", "rev", l.Rev, "all", l.All, "targets", len(l.Targets))
 	w.tell(l)
 	return nil
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -20,7 +22,7 @@
 
 func startWatch(t *testing.T, a *agent, rev int64, silence time.Duration) (<-chan listing, *watcher) {
 	told := make(chan listing, 100)
-	w := newWatcher(a.addr(), rev, func(l listing) { told <- l })
+	w := newWatcher(a.addr(), listing{Rev: rev}, 2, func(l listing) { told <- l })
 	w.silence = silence
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -98,3 +100,58 @@
 		t.Errorf("asked %s", q)
 	}
 }
+
+// A node asks for what changed since its list, also where that has version 0; one without a list
+// asks for all of it.
+func TestWatchAsksForChanges(t *testing.T) {
+	for want, known := range map[string]listing{
+		"from=0":  {Targets: []target{{UID: "s-1", Endpoint: "127.0.0.1:9", State: "up"}}},
+		"watch=1": {},
+	} {
+		a := newAgent(t)
+		w := newWatcher(a.addr(), known, 2, func(listing) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); w.run(ctx) }()
+		if q := next(t, a.asked); !strings.HasSuffix(q, want) {
+			t.Errorf("asked %s, not %s", q, want)
+		}
+		cancel()
+		<-done
+	}
+}
+
+// A herd spreads its first watches and waits longer and longer, by chance, while discovery has
+// no room; a small group comes back soon.
+func TestHerdGivesDiscoveryTime(t *testing.T) {
+	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer full.Close()
+	for group, want := range map[int]struct{ first, least, most time.Duration }{
+		3:  {0, backoffFirst / 4, backoffMost},
+		36: {36 * herdTurn, 36 * herdTurn / 8, 2 * 36 * herdTurn},
+	} {
+		w := newWatcher(full.Listener.Addr().String(), listing{Rev: 3}, group, func(listing) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		var pauses []time.Duration
+		w.jitter = func(most time.Duration) time.Duration { return most }
+		w.pause = func(_ context.Context, d time.Duration) {
+			if pauses = append(pauses, d); len(pauses) == 10 {
+				cancel()
+			}
+		}
+		w.run(ctx)
+		if pauses[0] != min(want.first, herdMost) {
+			t.Errorf("%d nodes: the first watch after %v", group, pauses[0])
+		}
+		for i, d := range pauses[1:] {
+			if d < want.least || d > want.most || i > 0 && d < pauses[i] {
+				t.Errorf("%d nodes: pauses %v", group, pauses)
+			}
+		}
+		if last := pauses[9]; last != want.most {
+			t.Errorf("%d nodes: the longest pause is %v, not %v", group, last, want.most)
+		}
+	}
+}
