--- a/control/control.go
+++ b/control/control.go
@@ -71,6 +71,9 @@
 	failCost     = 5.0              // factor on a server's cost, times the square of what it is over the gain
 	failMost     = 0.75             // part from which failures speak against the server as a whole
 	tieNoise     = 0.02             // random part of a cost, so that gateways do not agree on one server
+	herdLeast    = 8                // gateways from which each knows little of how busy a server is
+	unitsFirst   = 3.0              // of a request, until some are seen
+	unitsGain    = 0.05             // gain of their mean
 	warmLeast    = 0.1              // the least warmth that is reckoned with
 	latencyAge   = 5.0              // s after which an estimate unfed has lost 63% against the fleet's
 	strikesOut   = 3                // failures in a row that put a server aside
@@ -105,7 +108,7 @@
 		return nil, err
 	}
 	c := newController(s, seed)
-	c.retries, c.nextTry, c.clock.lag = retryMost, retryAfter, lagFirst
+	c.retries, c.nextTry, c.clock.lag, c.unitsMean = retryMost, retryAfter, lagFirst, unitsFirst
 	for i := range c.set.Classes {
 		k := &c.set.Classes[i]
 		c.classes[k.Name], c.usual[k] = k, &usualTTL{}
@@ -150,10 +153,15 @@
 	}
 	if m.HasCameUp && c.now < m.CameUp+c.set.Cold {
 		s.coldRamp, s.coldFrom = true, max(m.CameUp, s.coldFrom)
-		s.tokens, s.tokensAt = 0, c.now
+		if s.tokens, s.tokensAt = 0, c.now; c.herd() { // so that not all send at the same moment
+			s.tokens = c.rng.Float64() * c.unitsMean
+		}
 	}
 }
 
+// herd tells whether so many gateways share the load that each knows little of it.
+func (c *Controller) herd() bool { return c.set.GroupSize >= herdLeast }
+
 func (s *server) usable() bool { return s.listed && s.Condition == On }
 
 func (c *Controller) aside(s *server) bool { return s.strikes >= strikesOut && c.now < s.asideUntil }
@@ -168,9 +176,19 @@
 
 // floor is twice the ready servers, the least that the bound may be, or where the floors of the
 // whole group would sum up to more than a server can use, this gateway's part of that sum. Guards
-// against many gateways that jam the fleet by their floors alone.
+// against many gateways that jam the fleet by their floors alone; for a herd a cold server counts
+// by its warmth, so that a fleet just released is not jammed either.
 func (c *Controller) floor() float64 {
-	n := c.count(func(s *server) bool { return s.usable() && s.strikes < strikesOut })
+	n := 0.0
+	for _, s := range c.order {
+		switch {
+		case !s.usable() || s.strikes >= strikesOut:
+		case s.coldRamp && c.herd():
+			n += c.warmth(s)
+		default:
+			n++
+		}
+	}
 	return math.Min(perServer, groupLeast/float64(c.set.GroupSize)) * math.Max(1, n)
 }
 
@@ -571,6 +589,7 @@
 	c.dequeue(r)
 	if r.sends == 0 {
 		c.draw(r.cust, r.units)
+		c.unitsMean += unitsGain * (r.units - c.unitsMean)
 	}
 	if r.group == nil && r.class.Effect == Guarded {
 		r.firstRun = c.now
@@ -590,15 +609,25 @@
 
 // ---- server choice ----
 
-// pick is the server of least expected wait that the rules allow; nil is to wait.
+// pick is the server of least expected wait that the rules allow; nil is to wait. Guards against a
+// herd that takes the warm servers alone, as each of it holds too little at one to tell how busy it
+// is: while some are cold it shares them by chance, as the least of costs each times an exponential
+// draw falls on a server as often as its speed and warmth are of the sum.
 func (c *Controller) pick(r *request) *server {
 	var best *server
 	bestCost := math.Inf(1)
+	chance := c.herd() && c.count(func(s *server) bool { return s.usable() && s.coldRamp }) > 0
 	for _, s := range c.order {
 		if !s.usable() || !c.sameGroup(r, s) || !c.coldRoom(s, r.units) {
 			continue
 		}
 		cost := c.cost(s)
+		if chance {
+			cost *= c.rng.ExpFloat64()
+			if s.coldRamp {
+				cost /= c.warmth(s) // each request takes longer there
+			}
+		}
 		for _, t := range r.tried {
 			if t == s.Server {
 				cost *= triedCost
@@ -682,6 +711,10 @@
 	}
 	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
 	rate := math.Max(coldSafety*c.set.FallMultiple*w*c.warmRate(), 1/float64(c.set.GroupSize))
+	if c.herd() { // too little passes here to tell what a server does: it holds so many at a time
+		rate = math.Max(rate, coldSafety*c.set.FallMultiple*w*c.unitsMean*groupLeast/
+			(float64(c.set.GroupSize)*math.Max(c.idle, tick.Seconds())))
+	}
 	s.tokens += rate * (c.now - s.tokensAt).Seconds()
 	s.tokens, s.tokensAt = math.Min(s.tokens, math.Max(units, rate*c.set.Fall.Seconds()/2)), c.now
 	return s.tokens >= units
--- a/control/long_test.go
+++ b/control/long_test.go
@@ -124,3 +124,36 @@
 		t.Errorf("ended with %v after %d attempts", g.ends["a"], g.n["a"])
 	}
 }
+
+// Gateways of a herd use cold servers for their part, by their warmth, and hold less in flight
+// while the fleet is cold.
+func TestHerdSharesColdServers(t *testing.T) {
+	s := settings()
+	s.GroupSize = 36
+	members := on(1, 2, 3, 4)
+	for i := range members[1:] {
+		members[i+1].HasCameUp, members[i+1].CameUp = true, time.Hour-3*time.Second // 0.2 + 0.8 * 0.3 = 0.44 warm
+	}
+	g := newGate(t, s, members...)
+	if f, want := g.c.floor(), 4.0/36*(1+3*0.44); f < want-0.01 || f > want+0.01 {
+		t.Errorf("a floor of %g, not %g", f, want)
+	}
+	g.c.bound = 4
+	n := map[uint32]int{}
+	for i := 0; i < 70; i++ { // 7 s: one request in 100 ms is more than this gateway's part
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "high", "c")
+		if g.n[id] > 0 {
+			n[g.sends[len(g.sends)-1].Server]++
+			g.pass(100 * ms)
+			g.reply(id, OK, 0)
+		} else {
+			g.pass(100 * ms)
+		}
+	}
+	cold := n[2] + n[3] + n[4]
+	// Of 4 attempts at a time and 100 ms each, times the warmth, a 36th is 0.5 to 1.1 a second.
+	if cold < 5 || cold > 40 || n[1] <= cold/3 {
+		t.Errorf("%d attempts at the warm server, %d at three cold ones", n[1], cold)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -211,6 +211,7 @@
 	idle, seen        float64
 	servedRate        float64 // units a second by warm servers, smoothed
 	retries           float64
+	unitsMean         float64 // of a request
 	clock             meterClock
 	nextTick          time.Duration
 	nextInterval      time.Duration
