--- a/cmd/lockflow/main.go
+++ b/cmd/lockflow/main.go
@@ -49,7 +49,11 @@
 	runtime.GOMAXPROCS(int(math.Max(1, math.Ceil(cfg.Cores))))
 	debug.SetGCPercent(collectAt)
 	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB<<20)))
+		part := memoryPart
+		if cfg.SocketFD > 0 { // a second process may run beside this one
+			part /= 2
+		}
+		debug.SetMemoryLimit(int64(part * float64(cfg.MemoryMB<<20)))
 	}
 	n, err := node.New(cfg)
 	if err != nil {
--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -55,6 +56,7 @@
 	t     *testing.T
 	lines *bufio.Scanner // its log
 	addr  string         // where it takes clients
+	seen  []string       // of the log
 }
 
 // start starts the program and waits until it is ready. Without a discovery in the
@@ -103,6 +105,7 @@
 func (p *program) until(word string) string {
 	p.t.Helper()
 	for p.lines.Scan() {
+		p.seen = append(p.seen, p.lines.Text())
 		if strings.Contains(p.lines.Text(), word) {
 			return p.lines.Text()
 		}
@@ -120,12 +123,28 @@
 
 // ask sends a request and gives what came of it.
 func (p *program) ask(id string) <-chan string {
+	p.t.Helper()
+	return p.askOf("enterprise", id)
+}
+
+// granted tells how many of n requests of a plan with little quota are served.
+func (p *program) granted(prefix string, n int) (granted int) {
+	p.t.Helper()
+	for i := range n {
+		if strings.HasPrefix(<-p.askOf("basic", fmt.Sprint(prefix, i)), "200 ") {
+			granted++
+		}
+	}
+	return granted
+}
+
+func (p *program) askOf(plan, id string) <-chan string {
 	p.t.Helper()
 	req, err := http.NewRequest(http.MethodGet, "http://"+p.addr+"/roster-read?account=00000000b4d65521", nil)
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	for k, v := range map[string]string{"X-Correlation-Id": id, "X-Tariff": "enterprise", "X-Time-Left": "7000m"} {
+	for k, v := range map[string]string{"X-Correlation-Id": id, "X-Tariff": plan, "X-Time-Left": "7000m"} {
 		req.Header.Set(k, v)
 	}
 	answer := make(chan string, 1)
@@ -282,7 +301,12 @@
 	if resp := ask("id-1"); resp.StatusCode != 200 || resp.Close {
 		t.Fatalf("%s, closes %v", resp.Status, resp.Close)
 	}
+	started := time.Now()
+	granted := old.granted("before-", 20)
 	fresh := startWith(t, bin, testConfig, list, socket, dir)
+	if !slices.ContainsFunc(fresh.seen, func(l string) bool { return strings.Contains(l, "taken over") }) {
+		t.Errorf("nothing was taken over: %q", fresh.seen)
+	}
 	begun := time.Now()
 	old.signal(syscall.SIGTERM)
 	old.until("draining")
@@ -299,9 +323,58 @@
 	if a := <-fresh.ask("id-3"); !strings.HasPrefix(a, "200 done") {
 		t.Error(a)
 	}
+	// A burst of 8 units and half a unit a second, over both processes.
+	granted += fresh.granted("after-", 20)
+	if most := 8 + int(time.Since(started).Seconds()/2) + 1; granted < 1 || granted > most {
+		t.Errorf("%d units were granted, at most %d are due", granted, most)
+	}
 	fresh.signal(syscall.SIGTERM)
 	fresh.until("drained")
 	if err := fresh.Wait(); err != nil {
 		t.Error(err)
 	}
 }
+
+// A handover that is spoilt, or never comes, leaves the process as from nothing.
+func TestSpoiltHandover(t *testing.T) {
+	bin := build(t)
+	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "done") }))
+	t.Cleanup(app.Close)
+	list := discovery(t, "s-1", app).Listener.Addr().String()
+	for name, says := range map[string]string{"garbage": "\x00\x00\x00\x04\x01\x02\x03\x04what", "silent": "", "cut off": "\x00\x00\x00\x04\x01",
+		"huge": "\xff\xff\xff\xff\x01\x02\x03\x04"} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			before, err := net.Listen("unix", filepath.Join(dir, "handover.sock"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer before.Close()
+			go func() {
+				if c, err := before.Accept(); err == nil {
+					io.WriteString(c, says)
+					if says != "" {
+						c.Close()
+					}
+				}
+			}()
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			socket, err := tcp.(*net.TCPListener).File()
+			if err != nil {
+				t.Fatal(err)
+			}
+			tcp.Close()
+			defer socket.Close()
+			p := startWith(t, bin, testConfig, list, socket, "TMPDIR="+dir)
+			if !slices.ContainsFunc(p.seen, func(l string) bool { return strings.Contains(l, "nothing is taken over") }) {
+				t.Errorf("%q", p.seen)
+			}
+			if a := <-p.ask("id-1"); !strings.HasPrefix(a, "200 done") {
+				t.Error(a)
+			}
+		})
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -124,7 +124,9 @@
 }
 
 func (c *Controller) begin() {
-	c.started, c.start = true, c.now
+	if c.started = true; c.start == 0 { // else that of the process before
+		c.start = c.now
+	}
 	c.nextReport = c.now + reportEvery
 	c.nextInterval = c.now + interval
 	c.act(Arm{After: tick, Label: tickLabel})
@@ -198,12 +200,12 @@
 	key := p.Name + " " + id
 	q := c.custs[key]
 	if q == nil {
-		q = &customer{plan: p, at: c.now, seenFrom: c.now, level: p.Depth, carry: c.rng.Float64(),
+		q = &customer{plan: p, at: c.now, seenFrom: c.now, level: c.whole() * p.Depth, carry: c.rng.Float64(),
 			spread: math.Max(1, float64(spread)), smooth: usePrior * p.Rate}
 		// A gateway just started does not know what its former self has passed on: the
 		// ceiling's store begins with the slack only and fills from the gateway's start.
-		q.ceiling = ceilingStart*p.CeilingSlack/q.spread + (c.now-c.start).Seconds()*p.CeilingRate/q.spread
-		q.openCap = float64(p.Open) / q.spread
+		q.ceiling = c.whole() * (ceilingStart*p.CeilingSlack + (c.now-c.start).Seconds()*p.CeilingRate) / q.spread
+		q.openCap = c.whole() * float64(p.Open) / q.spread
 		c.custs[key] = q
 	}
 	q.spread = math.Max(q.spread, float64(spread))
@@ -218,8 +220,9 @@
 	dt := (c.now - q.at).Seconds()
 	q.at = c.now
 	c.roll(q)
-	q.level = math.Min(q.plan.Depth, q.level+dt*q.plan.Rate)
-	q.ceiling = math.Min(q.plan.CeilingBurst/q.spread, q.ceiling+dt*q.plan.CeilingRate/q.spread)
+	part := c.whole()
+	q.level = math.Min(part*q.plan.Depth, q.level+part*dt*q.plan.Rate)
+	q.ceiling = math.Min(part*q.plan.CeilingBurst/q.spread, q.ceiling+part*dt*q.plan.CeilingRate/q.spread)
 }
 
 // part is the learned part of a customer's use that comes through this gateway.
@@ -353,7 +356,7 @@
 	q.base = (1 - q.part()) * math.Min(math.Min(used, q.lastUsed)/c.set.MeterPeriod.Seconds(), q.plan.Rate)
 	q.lastUsed = used
 	q.smooth += (1 - useKeep) * (used/c.set.MeterPeriod.Seconds() - q.smooth)
-	q.level = math.Min(q.plan.Depth, math.Max(-q.plan.Depth/2, q.level-used+charged))
+	q.level = math.Min(c.whole()*q.plan.Depth, math.Max(-q.plan.Depth/2, q.level-used+charged))
 }
 
 // learn finds when the meter's periods end and how late they are told: the pair under
--- /dev/null
+++ b/control/handover_test.go
@@ -0,0 +1,203 @@
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// alone is a gateway without others whose customers have 20 units at once and 1 a second.
+func aloneSettings() Settings {
+	s := settings()
+	s.GroupSize, s.MeterPeriod = 1, 0
+	s.Plans = []Plan{{Name: "low", Price: 1, Rate: 1, Depth: 20}}
+	return s
+}
+
+// sent asks n times for one unit and tells how many were sent on; each is answered soon.
+func (g *gate) sent(prefix string, n int) int {
+	g.t.Helper()
+	sent := 0
+	for i := range n {
+		id := fmt.Sprint(prefix, i)
+		g.do(Request{ID: id, Class: "job", Plan: "low", Customer: "c", TTL: 5 * time.Second, Units: 1, Spread: 1})
+		if g.n[id] > 0 {
+			sent++
+			g.reply(id, OK, 0)
+		}
+	}
+	return sent
+}
+
+// successor is the gate of the process that takes over from g's.
+func (g *gate) successor(s Settings) *gate {
+	g.t.Helper()
+	raw, err := g.c.Handover(g.now)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	c, err := New(s, 9)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	if err := c.Adopt(g.now, raw); err != nil {
+		g.t.Fatal(err)
+	}
+	return &gate{t: g.t, c: c, now: g.now, ends: map[string]Action{}, n: map[string]int{}, due: map[uint64]time.Duration{}}
+}
+
+// Two processes side by side grant together what one would have granted, and what the old one
+// leaves goes to the new one.
+func TestNoQuotaIsGrantedTwice(t *testing.T) {
+	for _, rest := range []bool{true, false} {
+		s := aloneSettings()
+		old := newGate(t, s, on(1)...)
+		granted := old.sent("a", 4)
+		fresh := old.successor(s)
+		fresh.do(List{Kind: Whole, Members: on(1)})
+		granted += fresh.sent("b", 100)
+		if granted != 4+8 {
+			t.Errorf("%d units granted, not 4 and half of the other 16", granted)
+		}
+		fresh.pass(2 * time.Second)
+		old.pass(2 * time.Second)
+		granted += old.sent("c", 3) + fresh.sent("d", 100)
+		var left []byte
+		if rest {
+			var err error
+			if left, err = old.c.Rest(old.now); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := fresh.c.Alone(fresh.now, left); err != nil {
+			t.Fatal(err)
+		}
+		granted += fresh.sent("e", 100)
+		want := 20 + 2 // the store, and 2 s of refill
+		if !rest {
+			want = 4 + 8 + 1 + 3
+		}
+		if granted < want-1 || granted > want {
+			t.Errorf("with the rest handed over %v: %d units granted, not %d", rest, granted, want)
+		}
+		fresh.pass(5 * time.Second)
+		if n := fresh.sent("f", 100); n < 4 || n > 6 {
+			t.Errorf("%d units granted in 5 s alone, not 5", n)
+		}
+	}
+}
+
+// A process whose successor has gone takes the whole again.
+func TestSuccessorGone(t *testing.T) {
+	s := aloneSettings()
+	old := newGate(t, s, on(1)...)
+	old.successor(s)
+	bound := old.c.bound
+	if err := old.c.Alone(old.now, nil); err != nil {
+		t.Fatal(err)
+	}
+	old.pass(30 * time.Second)
+	if n := old.sent("a", 100); n != 20 || old.c.bound < 2*bound {
+		t.Errorf("%d units granted, a bound of %g after %g", n, old.c.bound, bound)
+	}
+}
+
+// What was learnt of servers, customers, the meter and the shares is there at once.
+func TestHandoverKeepsWhatWasLearnt(t *testing.T) {
+	s := settings()
+	g := newGate(t, s, on(1, 2)...)
+	for i := range 60 {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "high", fmt.Sprint("c", i%3))
+		g.pass(70 * ms)
+		if g.n[id] > 0 && g.ends[id] == nil {
+			g.reply(id, OK, 1+i%40)
+		}
+	}
+	g.ask("dead", "job", "high", "c0")
+	g.reply("dead", ConnectFailed, 0)
+	dead := g.sends[len(g.sends)-2].Server
+	if g.c.Avoided(g.now) != 1 {
+		t.Fatalf("%d avoided", g.c.Avoided(g.now))
+	}
+	f := g.successor(s)
+	f.do(List{Kind: Whole, Members: on(1, 2)})
+	if f.c.Avoided(f.now) != 1 || !f.c.aside(f.c.servers[dead]) {
+		t.Error("the server that takes no connections is forgotten")
+	}
+	if f.c.latency != g.c.latency || f.c.start != g.c.start || f.c.clock != g.c.clock || f.c.bound != 2*g.c.bound {
+		t.Errorf("latency %g and %g, bound %g and %g", f.c.latency, g.c.latency, f.c.bound, g.c.bound)
+	}
+	for i, p := range f.c.plans {
+		if p.share != g.c.plans[i].share || p.y != g.c.plans[i].y {
+			t.Errorf("plan %s: share %g, not %g", p.Name, p.share, g.c.plans[i].share)
+		}
+	}
+	for k, q := range g.c.custs {
+		n := f.c.custs[k]
+		if n == nil || n.level != q.level || n.metered != q.metered || n.readEnd != q.readEnd {
+			t.Fatalf("customer %s: %+v", k, n)
+		}
+		for b := g.c.binNow() - 2*binsPeriod; b <= g.c.binNow(); b++ {
+			if d := n.own.over(b) - q.own.over(b); math.Abs(d) > 1e-6 {
+				t.Errorf("customer %s: %g units off in the period before bin %d", k, d, b)
+			}
+		}
+	}
+	armed := false
+	for _, a := range f.acts {
+		if m, ok := a.(Arm); ok && m.Label == tickLabel {
+			armed = true
+		}
+	}
+	if !armed {
+		t.Error("the new one's clock does not run")
+	}
+}
+
+// What is of another version, cut off or can't be changes nothing.
+func TestSpoiltHandover(t *testing.T) {
+	s := settings()
+	g := newGate(t, s, on(1)...)
+	g.ask("a", "job", "low", "c")
+	good, err := g.c.Handover(g.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(f func(map[string]any)) []byte {
+		var m map[string]any
+		if err := json.Unmarshal(good, &m); err != nil {
+			t.Fatal(err)
+		}
+		f(m)
+		raw, _ := json.Marshal(m)
+		return raw
+	}
+	for name, raw := range map[string][]byte{
+		"none":          nil,
+		"cut off":       good[:len(good)/2],
+		"other version": change(func(m map[string]any) { m["Version"] = handoverVersion + 1 }),
+		"old":           bytes.Replace(good, []byte(`"At":3600`), []byte(`"At":1600`), 1),
+		"no bound":      change(func(m map[string]any) { m["Bound"] = -1 }),
+		"odd phase":     change(func(m map[string]any) { m["Phase"] = binsPeriod }),
+		"odd law":       change(func(m map[string]any) { m["Law"] = [][]float64{{1}, {2}, nil} }),
+		"odd share":     change(func(m map[string]any) { m["Plans"] = map[string]any{"low": map[string]any{"Share": 7}} }),
+		"odd customer": change(func(m map[string]any) {
+			m["Customers"] = map[string]any{"low c": map[string]any{"Plan": "low", "Key": "low c", "Spread": 1, "Level": 1e9}}
+		}),
+		"odd plan": change(func(m map[string]any) {
+			m["Customers"] = map[string]any{"x c": map[string]any{"Plan": "x", "Key": "x c", "Spread": 1}}
+		}),
+	} {
+		c, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Adopt(g.now, raw); err == nil || c.bound != 0 || len(c.custs) != 0 || c.shares || c.start != 0 {
+			t.Errorf("%s: %v, and something was taken", name, err)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -212,6 +212,7 @@
 	servedRate        float64 // units a second by warm servers, smoothed
 	retries           float64
 	unitsMean         float64 // of a request
+	shares            bool    // another controller decides for this gateway too; see handover.go
 	clock             meterClock
 	nextTick          time.Duration
 	nextInterval      time.Duration
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -21,6 +21,7 @@
 	Name, Listen, Discovery string
 	Console                 string // where operators call; "" is nowhere
 	SocketFD                int    // of the clients' listening socket where it is inherited; 0 is none
+	Dir                     string // that processes of this node share; "" is none
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -102,7 +103,7 @@
 
 // FromEnvironment takes over what the environment names; it goes before the file.
 func (c *Config) FromEnvironment(lookup func(string) string) error {
-	for name, field := range map[string]*string{"NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery, "NODE_CONSOLE": &c.Console} {
+	for name, field := range map[string]*string{"NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery, "NODE_CONSOLE": &c.Console, "TMPDIR": &c.Dir} {
 		if v := lookup(name); v != "" {
 			*field = v
 		}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -82,12 +82,13 @@
 	pause   func(context.Context, time.Duration)   // waits
 
 	mu    sync.Mutex
+	at    string             // the address in force, or to move to
 	next  string             // the address to move to; "" is none
 	leave context.CancelFunc // ends the stay at the present address
 }
 
 func newWatcher(addr string, known listing, group int, tell func(listing)) *watcher {
-	w := &watcher{url: watchURL(addr), rev: known.Rev, silence: watchSilence, tell: tell, leave: func() {}, group: group,
+	w := &watcher{url: watchURL(addr), at: addr, rev: known.Rev, silence: watchSilence, tell: tell, leave: func() {}, group: group,
 		jitter: func(most time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(most) + 1)) },
 		pause: func(ctx context.Context, d time.Duration) {
 			t := time.NewTimer(d)
@@ -116,13 +117,20 @@
 	return min(time.Duration(w.group)*herdTurn, herdMost)
 }
 
+// address is where the list comes from now.
+func (w *watcher) address() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.at
+}
+
 func watchURL(addr string) string { return "http://" + addr + "/v1/servers?watch=1" }
 
 // move has the watch go on at another address, at once.
 func (w *watcher) move(addr string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.next = addr
+	w.next, w.at = addr, addr
 	w.leave()
 }
 
--- /dev/null
+++ b/internal/node/handover.go
@@ -0,0 +1,239 @@
+package node
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"martennotch/control"
+)
+
+// This file hands over what a process has learnt to the one that takes its place, on a Unix
+// socket in the folder that both share. Nothing depends on it: a process that finds no other, or
+// hears what it can't use, starts as from nothing.
+
+const (
+	handoverName    = "handover.sock"
+	handoverWithin  = 1500 * time.Millisecond // of the whole exchange
+	handoverMost    = 8 << 20                 // bytes of a message
+	handoverVersion = 1                       // of this side's part; the module's has its own
+	listWithin      = 3 * time.Second         // after which the list handed over has to do
+	sharedMost      = 12 * time.Second        // for which two processes run side by side
+)
+
+// legacy is what goes over: the module's part, the names behind its server ids, and the list.
+type legacy struct {
+	Version   int
+	Discovery string // whose versions the list's is one of
+	LastID    uint32
+	IDs       map[string]uint32
+	List      listing
+	Module    json.RawMessage
+}
+
+// writeMessage sends a message with its length and sum, so that a part of one is never taken.
+func writeMessage(w io.Writer, m []byte) error {
+	head := binary.BigEndian.AppendUint32(nil, uint32(len(m)))
+	head = binary.BigEndian.AppendUint32(head, crc32.ChecksumIEEE(m))
+	_, err := w.Write(append(head, m...))
+	return err
+}
+
+func readMessage(r io.Reader) ([]byte, error) {
+	var head [8]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:4])
+	if n > handoverMost {
+		return nil, fmt.Errorf("a message of %d bytes", n)
+	}
+	m := make([]byte, n)
+	if _, err := io.ReadFull(r, m); err != nil {
+		return nil, err
+	}
+	if crc32.ChecksumIEEE(m) != binary.BigEndian.Uint32(head[4:]) {
+		return nil, errors.New("a spoilt message")
+	}
+	return m, nil
+}
+
+// inherit takes over from the process that runs beside this one, if one does. The connection to
+// it stays open for as long as both run; nil is none.
+func (n *Node) inherit(dir string) net.Conn {
+	c, err := net.DialTimeout("unix", filepath.Join(dir, handoverName), handoverWithin)
+	if err != nil {
+		return nil // none, or one that has gone
+	}
+	c.SetDeadline(time.Now().Add(handoverWithin))
+	m, err := readMessage(c)
+	var from legacy
+	if err == nil {
+		err = json.Unmarshal(m, &from)
+	}
+	if err == nil && from.Version != handoverVersion {
+		err = fmt.Errorf("version %d, not %d", from.Version, handoverVersion)
+	}
+	if err == nil {
+		err = from.List.check()
+	}
+	if err == nil {
+		err = n.loop.ctl.Adopt(n.loop.now(), from.Module)
+	}
+	if err != nil {
+		slog.Warn("nothing is taken over", "err", err)
+		c.Close()
+		// There is another process all the same, for a while.
+		n.upstream.sockets.share(true)
+		time.AfterFunc(sharedMost, func() { n.upstream.sockets.share(false) })
+		return nil
+	}
+	c.SetDeadline(time.Time{})
+	for uid, id := range from.IDs {
+		n.loop.ids[uid] = id
+		n.loop.lastID = max(n.loop.lastID, id)
+	}
+	n.loop.lastID = max(n.loop.lastID, from.LastID)
+	if len(from.List.Targets) > 0 {
+		n.known = from.List
+		if n.discovery.rev = noRev; from.Discovery == n.discoveryAt {
+			n.discovery.rev = from.List.Rev
+		}
+	}
+	n.upstream.sockets.share(true)
+	slog.Info("taken over", "customers and servers", len(m), "listed", len(from.List.Targets))
+	return c
+}
+
+// succeed waits for the process before this one to end, and takes what it leaves.
+func (n *Node) succeed(ctx context.Context, c net.Conn) {
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	defer c.Close()
+	rest, err := readMessage(c)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		slog.Warn("the process before has left nothing", "err", err)
+		rest = nil
+	}
+	n.loop.post(func() { n.alone(rest) })
+}
+
+// alone has the node go on without the other process.
+func (n *Node) alone(rest []byte) {
+	if err := n.loop.ctl.Alone(n.loop.now(), rest); err != nil {
+		slog.Warn("the rest can't be used", "err", err)
+	}
+	n.upstream.sockets.share(false)
+}
+
+// bequeath hands over to a process that starts beside this one, until ctx ends; then, when the
+// loop has ended, what is left.
+func (n *Node) bequeath(ctx context.Context, dir string) {
+	// Guards against a name without a listener: the new one takes the old one's place at once.
+	own := filepath.Join(dir, handoverName+"."+strconv.Itoa(os.Getpid()))
+	l, err := net.Listen("unix", own)
+	if err == nil {
+		l.(*net.UnixListener).SetUnlinkOnClose(false)
+		if err = os.Rename(own, filepath.Join(dir, handoverName)); err != nil {
+			l.Close()
+		}
+	}
+	if err != nil {
+		slog.Warn("nothing can be handed over", "err", err)
+		return
+	}
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		n.hand(ctx, c)
+	}
+}
+
+// hand serves one process that takes over, until either ends.
+func (n *Node) hand(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	got := make(chan []byte, 1)
+	if !n.loop.post(func() {
+		m, err := n.loop.bequest(n.discovery.address())
+		if err != nil {
+			slog.Warn("nothing is handed over", "err", err)
+		}
+		n.upstream.sockets.share(true)
+		got <- m
+	}) {
+		return
+	}
+	var m []byte
+	select {
+	case m = <-got:
+	case <-n.loop.ended:
+		return
+	}
+	c.SetWriteDeadline(time.Now().Add(handoverWithin))
+	if m == nil || writeMessage(c, m) != nil {
+		n.loop.post(func() { n.alone(nil) })
+		return
+	}
+	slog.Info("handed over", "bytes", len(m))
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		io.Copy(io.Discard, c)
+	}()
+	select {
+	case <-gone:
+		slog.Warn("the process that took over has gone")
+		n.loop.post(func() { n.alone(nil) })
+	case <-n.loop.ended: // what is left is granted there only
+		if m, err := n.loop.ctl.Rest(n.loop.now()); err == nil && n.loop.failed == nil {
+			c.SetWriteDeadline(time.Now().Add(handoverWithin))
+			writeMessage(c, m)
+		}
+		c.Close()
+		<-gone
+	}
+}
+
+// bequest is what the loop's side hands over. From now on the module shares its quotas.
+func (l *loop) bequest(discovery string) ([]byte, error) {
+	module, err := l.ctl.Handover(l.now())
+	if err != nil {
+		return nil, err
+	}
+	b := legacy{Version: handoverVersion, Discovery: discovery, LastID: l.lastID, IDs: l.ids,
+		List: listing{Rev: l.rev, All: true}, Module: module}
+	for _, t := range l.targets {
+		b.List.Targets = append(b.List.Targets, t)
+	}
+	return json.Marshal(b)
+}
+
+// keep remembers the list, for a process that takes over.
+func (l *loop) keep(kind control.ListKind, news listing) {
+	if kind != control.Patch {
+		clear(l.targets)
+	}
+	for _, t := range news.Targets {
+		if t.condition() == control.Off {
+			delete(l.targets, t.UID)
+		} else {
+			l.targets[t.UID] = t
+		}
+	}
+	l.rev = news.Rev
+}
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -65,7 +65,10 @@
 	rev   int
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newRigWith(t, func(*Config) {}) }
+
+// newRigWith starts a node whose configuration a test changes before.
+func newRigWith(t *testing.T, change func(*Config)) *rig {
 	r := &rig{t: t, agent: newAgent(t), ended: make(chan error, 1), told: make(chan int64, 100), rev: 7}
 	raw, err := os.ReadFile("testdata/config.json")
 	if err != nil {
@@ -76,6 +79,7 @@
 		t.Fatal(err)
 	}
 	cfg.Discovery, cfg.Console = r.agent.addr(), "127.0.0.1:0"
+	change(&cfg)
 	if r.node, err = New(cfg); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -133,9 +133,11 @@
 	exchanges map[string]*exchange
 	ids       map[string]uint32 // of the listed app servers by uid
 	lastID    uint32            // no id is given twice
-	pools     map[uint32]*pool  // of those that are up
-	unitsTop  float64           // of one request; 0 is not told
-	pending   []control.Event   // that the node itself caused while it acted
+	targets   map[string]target // the list, by uid, and its version
+	rev       int64
+	pools     map[uint32]*pool // of those that are up
+	unitsTop  float64          // of one request; 0 is not told
+	pending   []control.Event  // that the node itself caused while it acted
 	stats     *stats
 }
 
@@ -147,7 +149,7 @@
 	life, end := context.WithCancel(context.Background())
 	return &loop{life: life, end: end, ctl: ctl, upstream: up, start: time.Now(), sendCap: cfg.Settings.SendCap,
 		events: make(chan func(), 256), ended: make(chan struct{}), exchanges: make(map[string]*exchange),
-		ids: make(map[string]uint32), pools: make(map[uint32]*pool), unitsTop: cfg.Settings.UnitsTop, stats: counts}, nil
+		ids: make(map[string]uint32), targets: make(map[string]target), pools: make(map[uint32]*pool), unitsTop: cfg.Settings.UnitsTop, stats: counts}, nil
 }
 
 // now is Unix time when the node started and monotonic time since, so that the start of
@@ -408,6 +410,7 @@
 
 // list takes in what discovery tells. What is no longer listed is forgotten.
 func (l *loop) list(kind control.ListKind, news listing) {
+	l.keep(kind, news)
 	e := control.List{Kind: kind}
 	listed := make(map[string]bool)
 	for i := range news.Targets {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"martennotch/control"
@@ -37,6 +38,10 @@
 	console   *console      // nil is none
 	stats     *stats
 	drainer   *drainer
+
+	dir         string // that a process which takes this one's place shares; "" is none
+	discoveryAt string
+	listDue     atomic.Bool // the list that was handed over is to be confirmed
 }
 
 // New makes an edge node and begins to listen.
@@ -47,7 +52,11 @@
 	}
 	socks := newSockets(cfg.Sockets - apart)
 	counts := newStats(cfg.Settings.Classes)
-	up := newUpstream(cfg.Connect, cfg.Keepalive, socks, newBudget(cfg.MemoryMB))
+	memory := cfg.MemoryMB
+	if cfg.SocketFD > 0 {
+		memory /= 2 // a second process may run beside this one
+	}
+	up := newUpstream(cfg.Connect, cfg.Keepalive, socks, newBudget(memory))
 	l, err := newLoop(cfg, up, counts)
 	if err != nil {
 		return nil, err
@@ -61,6 +70,10 @@
 		listener: &countedListener{tcp, ctx, socks}, listening: cancel, inherited: inherited,
 		most: drainMost(cfg.Settings.Classes), stats: counts}
 	n.drainer = &drainer{front: n.front}
+	n.discoveryAt = cfg.Discovery
+	if inherited {
+		n.dir = cfg.Dir
+	}
 	if cfg.Console != "" {
 		if n.console, err = newConsole(cfg.Console, n); err != nil {
 			cancel()
@@ -73,7 +86,10 @@
 		if news.All {
 			kind = control.Whole
 		}
-		l.post(func() { n.learn(kind, news) })
+		l.post(func() {
+			n.listDue.Store(false)
+			n.learn(kind, news)
+		})
 	})
 	return n, nil
 }
@@ -91,7 +107,7 @@
 // learn tells the loop's side of a list; with a server to send to the node is ready.
 func (n *Node) learn(kind control.ListKind, news listing) {
 	n.loop.list(kind, news)
-	if len(n.loop.ids) > 0 {
+	if len(n.loop.ids) > 0 && !n.listDue.Load() {
 		n.front.ready.Store(true)
 	}
 }
@@ -105,17 +121,37 @@
 	defer n.drainer.over()
 	work, stop := context.WithCancel(life)
 	defer stop()
+	if n.console != nil {
+		parts.Go(func() { n.console.run(life) })
+	}
+	var before net.Conn
+	if n.dir != "" {
+		if before = n.inherit(n.dir); before != nil {
+			n.listDue.Store(true)
+		}
+	}
 	parts.Go(func() { n.loop.run(work) })
 	// Guards against a bound that the module sets by a list of no servers.
 	if len(n.known.Targets) > 0 {
 		n.loop.post(func() { n.learn(control.Stale, n.known) })
 	}
+	if before != nil {
+		parts.Go(func() { n.succeed(life, before) })
+		late := time.AfterFunc(listWithin, func() {
+			n.loop.post(func() {
+				if n.listDue.Swap(false) && len(n.loop.ids) > 0 {
+					n.front.ready.Store(true)
+				}
+			})
+		})
+		defer late.Stop()
+	}
+	if n.dir != "" {
+		parts.Go(func() { n.bequeath(life, n.dir) })
+	}
 	parts.Go(func() { n.discovery.run(life) })
 	parts.Go(func() { n.upstream.sweep(life) })
 	parts.Go(func() { n.report(life) })
-	if n.console != nil {
-		parts.Go(func() { n.console.run(life) })
-	}
 	srv := n.front.server()
 	served := make(chan error, 1)
 	parts.Go(func() { served <- srv.Serve(n.listener) })
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -20,8 +20,9 @@
 // sockets holds the connections of all sides together under the limit on
 // descriptors. Where it is reached, idle connections are closed for new ones.
 type sockets struct {
-	open atomic.Int64
-	most atomic.Int64
+	open   atomic.Int64
+	most   atomic.Int64
+	shared atomic.Bool // another process has half of the places
 
 	waits atomic.Int64 // times that a client had to wait for a place, for the log
 
@@ -60,6 +61,21 @@
 	return s
 }
 
+// share gives half of the places to another process, or takes them back. Connections that
+// nothing waits on go where more are open.
+func (s *sockets) share(on bool) {
+	if s.shared.Swap(on) == on {
+		return
+	}
+	if !on {
+		s.most.Store(2 * s.most.Load())
+		return
+	}
+	s.most.Store(s.most.Load() / 2)
+	for s.open.Load() > s.most.Load() && (s.evictServer(0) || s.evictClient()) {
+	}
+}
+
 // take books a place for one more connection and leaves some free.
 func (s *sockets) take(leave int64) bool {
 	for s.open.Add(1) > s.most.Load()-leave {
