--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -14,6 +14,8 @@
 
 const (
 	bodyStall    = 2500 * time.Millisecond // silence of a client within a body
+	bodyMostTime = 10 * time.Second        // of a body, and as much more as it needs at slowest
+	slowest      = 16 << 10                // bytes a second that a message comes with on the whole
 	clientStall  = 4 * time.Second         // for which a client may take nothing of its answer
 	discardMost  = 10 * time.Second        // for which the rest of a refused body is taken and dropped
 	discardStall = time.Second
@@ -38,6 +40,7 @@
 	stopped bool
 	fault   error // why it can't be read to its end
 	ended   bool
+	begun   time.Time
 	total   int64
 	broken  chan struct{} // closed with a fault
 }
@@ -56,7 +59,12 @@
 		b.mu.Unlock()
 		return 0, errNoBody
 	}
-	b.limit.SetReadDeadline(time.Now().Add(bodyStall))
+	now := time.Now()
+	if b.begun.IsZero() {
+		b.begun = now
+	}
+	// Guards, by the second, against a client that sends a byte now and then without end.
+	b.limit.SetReadDeadline(earlier(now.Add(bodyStall), b.begun.Add(mostTime(bodyMostTime, b.total))))
 	b.mu.Unlock()
 
 	n, err := b.src.Read(p)
@@ -80,6 +88,18 @@
 	return n, err
 }
 
+// mostTime is what a message of so many bytes may take in all.
+func mostTime(least time.Duration, bytes int64) time.Duration {
+	return least + time.Duration(bytes)*time.Second/slowest
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // stop ends a read that waits for the client.
 func (b *clientBody) stop() {
 	b.mu.Lock()
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -51,7 +51,7 @@
 func consoleRoutes(n *Node) http.Handler {
 	calls := map[string]map[string]http.HandlerFunc{
 		"/ready": {http.MethodGet: func(w http.ResponseWriter, _ *http.Request) {
-			if !n.front.ready.Load() || n.front.draining.Load() {
+			if !n.front.ready.Load() || n.drainer.leaving() {
 				http.Error(w, "no", http.StatusServiceUnavailable)
 				return
 			}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -73,6 +73,13 @@
 	return true
 }
 
+// leaving tells whether the process takes part in a drain, or ends.
+func (d *drainer) leaving() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ends || d.quit != nil
+}
+
 // reach enters a stage unless the drain was called off.
 func (d *drainer) reach(quit chan struct{}, stage int) bool {
 	d.mu.Lock()
--- a/internal/node/long_test.go
+++ b/internal/node/long_test.go
@@ -392,3 +392,33 @@
 	}
 	return resp.StatusCode
 }
+
+// A message may take its time, but not without end: a byte now and then is no progress.
+func TestMessagesComeToAnEnd(t *testing.T) {
+	if d := mostTime(bodyMostTime, 0); d != bodyMostTime {
+		t.Errorf("%v for nothing", d)
+	}
+	// The slowest proper client sends 64 kB a second.
+	if d := mostTime(bodyMostTime, 32<<20); d < 32<<20*time.Second/64000 {
+		t.Errorf("32 MB may take only %v", d)
+	}
+	b := newClientBody(strings.NewReader("x"), http.NewResponseController(&deadlines{}))
+	b.begun = time.Now().Add(-bodyMostTime)
+	set := &deadlines{}
+	b.limit = http.NewResponseController(set)
+	b.Read(make([]byte, 1))
+	if left := time.Until(set.read[0]); left > time.Second {
+		t.Errorf("another %v for a body that has had its time", left)
+	}
+}
+
+// deadlines notes the deadlines that are set.
+type deadlines struct {
+	http.ResponseWriter
+	read []time.Time
+}
+
+func (d *deadlines) SetReadDeadline(t time.Time) error {
+	d.read = append(d.read, t)
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,7 @@
 	if cfg.Console != "" {
 		apart += consolePlaces
 	}
-	socks := newSockets(cfg.Sockets - apart)
+	socks := newSockets(cfg.Sockets, apart)
 	counts := newStats(cfg.Settings.Classes)
 	memory := cfg.MemoryMB
 	if cfg.SocketFD > 0 {
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -22,7 +22,9 @@
 type sockets struct {
 	open   atomic.Int64
 	most   atomic.Int64
-	shared atomic.Bool // another process has half of the places
+	full   int64       // most, of a process alone
+	apart  int64       // descriptors of a process beside these
+	shared atomic.Bool // another process has half of the descriptors
 
 	waits atomic.Int64 // times that a client had to wait for a place, for the log
 
@@ -55,9 +57,12 @@
 	return l, true, nil
 }
 
-func newSockets(limit int) *sockets {
-	s := &sockets{evictClient: func() bool { return false }, evictServer: func(int) bool { return false }}
-	s.most.Store(int64(max(limit, 2*socketsAhead)))
+// newSockets holds connections to what a limit on descriptors leaves beside those set apart.
+func newSockets(limit, apart int) *sockets {
+	limit -= apart
+	s := &sockets{apart: int64(apart), evictClient: func() bool { return false }, evictServer: func(int) bool { return false }}
+	s.full = int64(max(limit, 2*socketsAhead))
+	s.most.Store(s.full)
 	return s
 }
 
@@ -68,10 +73,10 @@
 		return
 	}
 	if !on {
-		s.most.Store(2 * s.most.Load())
+		s.most.Store(s.full)
 		return
 	}
-	s.most.Store(s.most.Load() / 2)
+	s.most.Store(s.full/2 - s.apart/2) // the other one sets as many apart
 	for s.open.Load() > s.most.Load() && (s.evictServer(0) || s.evictClient()) {
 	}
 }
@@ -89,9 +94,12 @@
 	return true
 }
 
+// ahead is what clients leave free for connections to app servers.
+func (s *sockets) ahead() int64 { return min(socketsAhead, s.most.Load()/3) }
+
 // wait books a place as soon as there is one.
-func (s *sockets) wait(ctx context.Context, leave int64) error {
-	for !s.take(leave) {
+func (s *sockets) wait(ctx context.Context, leave func() int64) error {
+	for !s.take(leave()) {
 		s.waits.Add(1)
 		select {
 		case <-ctx.Done():
@@ -122,7 +130,7 @@
 }
 
 func (l *countedListener) Accept() (net.Conn, error) {
-	if err := l.sockets.wait(l.ctx, socketsAhead); err != nil {
+	if err := l.sockets.wait(l.ctx, l.sockets.ahead); err != nil {
 		return nil, err
 	}
 	c, err := l.Listener.Accept()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -21,16 +21,17 @@
 )
 
 const (
-	answerHead  = 64 << 10                // an answer's head, and those ahead of it
-	answerStall = 2500 * time.Millisecond // silence of an app server within an answer
-	streamStall = 6 * time.Second         // the same once the answer is passed on, and for which it may take nothing
-	answerHold  = 500 * time.Millisecond  // after which what has come of an answer is passed on
-	answerGrace = 100 * time.Millisecond  // for an answer that came while the request broke
-	idlePart    = 2.0 / 3                 // of the servers' keepalive that a connection may idle here
-	idleSweep   = time.Second             // how often idle connections are looked at
-	connBuffer  = 4 << 10
-	usedMost    = 10000 // per cent; what a meter may tell
-	loadMost    = 1e6   // of any figure in a load report
+	answerHead     = 64 << 10                // an answer's head, and those ahead of it
+	answerStall    = 2500 * time.Millisecond // silence of an app server within an answer
+	streamStall    = 6 * time.Second         // the same once the answer is passed on, and for which it may take nothing
+	answerHold     = 500 * time.Millisecond  // after which what has come of an answer is passed on
+	answerMostTime = 30 * time.Second        // of an answer, and as much more as it needs at slowest
+	answerGrace    = 100 * time.Millisecond  // for an answer that came while the request broke
+	idlePart       = 2.0 / 3                 // of the servers' keepalive that a connection may idle here
+	idleSweep      = time.Second             // how often idle connections are looked at
+	connBuffer     = 4 << 10
+	usedMost       = 10000 // per cent; what a meter may tell
+	loadMost       = 1e6   // of any figure in a load report
 )
 
 // Headers of the protocol between edge nodes, clients and app servers.
@@ -137,6 +138,7 @@
 
 var (
 	errTooLong      = fmt.Errorf("an answer's head of more than %d bytes", answerHead)
+	errSlow         = errors.New("an answer that does not come to its end")
 	errNoDescriptor = errors.New("no descriptor is left")
 )
 
@@ -435,10 +437,13 @@
 	}
 	piece := pieces.Get().(*[pieceSize]byte)
 	defer pieces.Put(piece)
+	start := time.Now()
 	for total := int64(0); ; {
 		n, err := resp.Body.Read(piece[:])
 		if total += int64(n); total > longMost && err == nil {
 			err = errLong
+		} else if err == nil && time.Since(start) > mostTime(answerMostTime, total) {
+			err = errSlow
 		}
 		switch {
 		case o.begun && to == nil:
