--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -263,21 +263,28 @@
 	}
 }
 
-// Two processes share the clients' socket: at SIGTERM the old one answers what it took, lets its
-// kept connections go on an answer and leaves early; the socket stays good for the other.
-func TestReplaced(t *testing.T) {
-	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "done") }))
-	t.Cleanup(app.Close)
+// clientSocket is a listening socket as the platform holds it for the processes of a node.
+func clientSocket(t *testing.T) *os.File {
+	t.Helper()
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer tcp.Close()
 	socket, err := tcp.(*net.TCPListener).File()
 	if err != nil {
 		t.Fatal(err)
 	}
-	tcp.Close()
-	defer socket.Close()
+	t.Cleanup(func() { socket.Close() })
+	return socket
+}
+
+// Two processes share the clients' socket: at SIGTERM the old one answers what it took, lets its
+// kept connections go on an answer and leaves early; the socket stays good for the other.
+func TestReplaced(t *testing.T) {
+	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "done") }))
+	t.Cleanup(app.Close)
+	socket := clientSocket(t)
 	bin, list, dir := build(t), discovery(t, "s-1", app).Listener.Addr().String(), "TMPDIR="+t.TempDir()
 	old := startWith(t, bin, testConfig, list, socket, dir)
 	c, err := net.Dial("tcp", old.addr)
@@ -358,16 +365,7 @@
 					}
 				}
 			}()
-			tcp, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			socket, err := tcp.(*net.TCPListener).File()
-			if err != nil {
-				t.Fatal(err)
-			}
-			tcp.Close()
-			defer socket.Close()
+			socket := clientSocket(t)
 			p := startWith(t, bin, testConfig, list, socket, "TMPDIR="+dir)
 			if !slices.ContainsFunc(p.seen, func(l string) bool { return strings.Contains(l, "nothing is taken over") }) {
 				t.Errorf("%q", p.seen)
