Weigh cold servers by what cold ones take, and remember slow ones for six visits

Each node sends to each server once in ten seconds and forgets it in five. At fault: pick divided by warmth twice, cost took the fleet's latency for that of cold servers, chance by the plain cost leaves slow servers their queues, latencyAge.

--- a/control/control.go
+++ b/control/control.go
@@ -74,10 +74,14 @@
 	failCost     = 5.0              // factor on a server's cost, times the square of what it is over the gain
 	failMost     = 0.75             // part from which failures speak against the server as a whole
 	tieNoise     = 0.02             // random part of a cost, so that gateways do not agree on one server
+	chanceMild   = 0.25             // power of the draw by which a herd shares while servers are cold
 	herdLeast    = 8                // gateways from which each knows little of how busy a server is
 	unitsFirst   = 3.0              // of a request, until some are seen
 	unitsGain    = 0.05             // gain of their mean
 	warmLeast    = 0.1              // the least warmth that is reckoned with
+	recallVisits = 6.0              // answers of each server for which what was seen of it counts at least
+	recallMost   = 60.0             // s, and the longest
+	coldGain     = 0.05             // gain of the latency estimate of cold servers as a whole
 	latencyAge   = 5.0              // s after which an estimate unfed has lost 63% against the fleet's
 	strikesOut   = 3                // failures in a row that put a server aside
 	asideFirst   = time.Second      // how long it is put aside at first; doubles
@@ -143,6 +147,7 @@
 		return
 	}
 	c.merge(e)
+	c.usables = c.count((*server).usable)
 	if c.bound == 0 {
 		first := math.Min(perServer, groupFirst/float64(c.set.GroupSize))
 		c.bound = math.Max(c.floor(), first*c.count((*server).usable))
@@ -641,10 +646,7 @@
 		}
 		cost := c.cost(s)
 		if chance {
-			cost *= c.rng.ExpFloat64()
-			if s.coldRamp {
-				cost /= c.warmth(s) // each request takes longer there
-			}
+			cost *= math.Pow(c.rng.ExpFloat64(), chanceMild)
 		}
 		for _, t := range r.tried {
 			if t == s.Server {
@@ -671,11 +673,15 @@
 
 // cost is the expected wait at a server: its latency times what it holds of ours.
 func (c *Controller) cost(s *server) float64 {
-	base := math.Max(c.latency, 1e-3)
+	base := c.latency
+	if s.coldRamp && c.coldLatency > 0 { // a cold one holds less, and is no slower for what it holds
+		base = c.coldLatency
+	}
+	base = math.Max(base, 1e-3)
 	lat := base
 	if s.latency > 0 {
 		age := (c.now - s.latencyAt).Seconds()
-		lat = base + (s.latency-base)*math.Exp(-age/latencyAge)
+		lat = base + (s.latency-base)*math.Exp(-age/c.recall())
 	}
 	if s.working() > 0 { // a server that is silent is at least as slow as its silence
 		lat = math.Max(lat, (c.now - s.heard).Seconds())
@@ -692,7 +698,17 @@
 // failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
 // as a server that is not chosen has no chance to do better.
 func (c *Controller) failing(s *server) float64 {
-	return s.failing * math.Exp(-(c.now-s.failingAt).Seconds()/latencyAge)
+	return s.failing * math.Exp(-(c.now-s.failingAt).Seconds()/c.recall())
+}
+
+// recall is for how long, in s, what was seen of a server counts: for some answers of each. Guards
+// against a gateway of many, which sends to each of many servers so rarely that it has forgotten
+// which of them is slow before it comes there again.
+func (c *Controller) recall() float64 {
+	if c.answerRate == 0 {
+		return latencyAge
+	}
+	return math.Min(recallMost, math.Max(latencyAge, recallVisits*c.usables/c.answerRate))
 }
 
 // fared takes whether an attempt at a server failed: 1 or 0. Guards against a server that fails
@@ -864,6 +880,12 @@
 	t := took.Seconds()
 	c.sawLatency(a.srv, t)
 	aim := a.req.class.Aim.Seconds()
+	if a.srv.coldRamp {
+		if c.coldLatency == 0 {
+			c.coldLatency = t
+		}
+		c.coldLatency += coldGain * (math.Min(t, aim) - c.coldLatency)
+	}
 	c.seen++
 	c.latency += math.Max(fleetGain, 1/c.seen) * (math.Min(t, aim) - c.latency)
 	c.secSum += math.Min(t, aim)
@@ -973,6 +995,11 @@
 		}
 	}
 	c.servedRate += latencyGain * (c.served/lasted - c.servedRate)
+	if rate := (c.answers + c.bad) / lasted; c.answerRate == 0 {
+		c.answerRate = rate
+	} else {
+		c.answerRate += latencyGain * (rate - c.answerRate)
+	}
 	c.span = span{}
 	c.sweep()
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -529,7 +529,7 @@
 	q := g.c.customerOf(g.c.plans[0], "x", fewGateways)
 	read := func(pct int) float64 {
 		g.c.now, g.c.start = g.now, g.now // own tries tell nothing
-		q.level = 0 // the store is empty enough for the chance to decide
+		q.level = 0                       // the store is empty enough for the chance to decide
 		g.c.meter(q, pct+1, 1)
 		return g.c.chanceNow(q)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -210,6 +210,9 @@
 	restUntil         time.Duration // of the part of the bound beyond a whole number
 	idle, seen        float64
 	servedRate        float64 // units a second by warm servers, smoothed
+	answerRate        float64 // answers a second, smoothed
+	coldLatency       float64 // s, of answers of cold servers; 0 is none yet
+	usables           float64 // servers that could be sent to by the last list
 	retries           float64
 	unitsMean         float64 // of a request
 	shares            bool    // another controller decides for this gateway too; see handover.go
