Take a reading as what all gateways let through, not what this one would have

Beyond quotas went above all large requests: of eight units 60 to 68% found their units, of one 96 to 98%. At fault: meter weighed each reading by the own refusals of that period, which with many gateways are not the others'; so the demand believed in ran away and stayed. Stores were kept below nothing by charges that no later reading tells of.

--- a/control/control.go
+++ b/control/control.go
@@ -49,7 +49,8 @@
 	useKeep      = 0.8              // what the smoothed use keeps at each reading
 	surge        = 0.5              // shape of the belief about others' use: small trusts own surges more
 	fewGateways  = 4.0              // of a customer, to which each is told of most of its use
-	thinOwn      = 0.25             // weight of own tries beside readings where the gateways are many
+	thinTold     = 0.4              // part of the way that a reading moves the store there towards what it tells
+	thinOwn      = 0.1              // weight of own tries beside readings where the gateways are many
 	thinSharp    = 2.0              // by which the power of what fits the quota grows there
 	unmetered    = 2.0              // s of use that the meter has not told yet
 	storeHigh    = 0.08             // part of the store above which the chance is not applied
@@ -283,13 +284,13 @@
 		if left >= math.Max(storeHigh*p.Depth, units) && c.covered(q) {
 			return true
 		}
-		if left < storeLow*units {
+		if left < (storeLow+(1-storeLow)*(1-q.few()))*units {
 			c.tally.store++
 			return false
 		}
 	}
 	// The chance is drawn by carrying its remainder on, which keeps it exact over few tries.
-	if q.carry += 1 - c.chanceNow(q); q.carry >= 1 {
+	if q.carry += 1 - c.chanceFor(q, units); q.carry >= 1 {
 		q.carry--
 		return true
 	}
@@ -309,20 +310,27 @@
 // chanceNow is the chance of refusal, 1-(1-d')*100/p with p over the latest readings that amount
 // to some units and over own tries. Guards against readings of few requests, which are noise, and
 // against old ones where few periods are told: both count less against a prior of the demand.
-func (c *Controller) chanceNow(q *customer) float64 {
-	r := q.plan.Rate
-	if r == 0 || !q.metered {
+func (c *Controller) chanceNow(q *customer) float64 { return c.chanceFor(q, c.unitsMean) }
+
+// chanceFor is the chance of refusal of a request of some units: where many gateways each know
+// little of a store, a large request is the likelier to find it too low.
+func (c *Controller) chanceFor(q *customer, units float64) float64 {
+	if q.plan.Rate == 0 || !q.metered {
 		return q.chance
 	}
+	return math.Min(chanceMax, 1-math.Pow(c.fits(q), 1+(1-q.few())*thinSharp*units/c.unitsMean))
+}
+
+// fits is the part of a customer's demand that its quota holds, as far as is known.
+func (c *Controller) fits(q *customer) float64 {
+	r, few := q.plan.Rate, q.few()
 	k := math.Exp(-(c.now - q.toldAt).Seconds() / toldAge)
-	few := q.few()
 	trust := thinOwn + (1-thinOwn)*few
 	own := trust * q.tries * math.Exp(-(c.now-q.triesAt).Seconds()/toldAge)
 	seen := trust * math.Min(toldAge, (c.now-c.start).Seconds()) / q.spread
 	shape := askedShape * (1 + (1-few)*(c.unitsMean-1))
 	demand := (shape + k*q.told + own) / (shape/(askedMean*r) + k*q.toldFor + seen)
-	fit := math.Min(1, (r+few*burstPart*q.plan.Depth/toldAge)/demand)
-	return math.Min(chanceMax, 1-math.Pow(fit, 1+(1-few)*thinSharp))
+	return math.Min(1, (r+few*burstPart*q.plan.Depth/toldAge)/demand)
 }
 
 // few is 1 for a customer that comes through so few gateways that each is told of most of its use,
@@ -361,10 +369,17 @@
 	if asked > 0 {
 		force = q.refused.over(end) / asked
 	}
+	// Where many gateways decide, what all let through of the demand is what fits it once use is at
+	// the quota; own refusals say little of theirs. Guards against a belief that runs away, as each
+	// takes what it refuses itself to be refused everywhere.
+	few := q.few()
+	if q.plan.Rate > 0 && q.metered {
+		force = few*force + (1-few)*(1-c.fits(q))
+	}
 	period := c.set.MeterPeriod.Seconds()
 	k := math.Exp(-(c.now - q.toldAt).Seconds() / toldAge)
 	q.cover = q.cover*k + period
-	k *= math.Exp(-q.plan.Rate * period / toldUnits)
+	k *= math.Exp(-q.plan.Rate * period / (toldUnits * (2 - few)))
 	q.told, q.toldFor, q.toldAt = q.told*k+used, q.toldFor*k+(1-force)*period, c.now
 	if q.plan.Rate == 0 {
 		c.meterOpen(q, pct, force, asked)
@@ -377,6 +392,9 @@
 	q.lastUsed = used
 	q.smooth += (1 - useKeep) * (used/c.set.MeterPeriod.Seconds() - q.smooth)
 	q.level = math.Min(c.whole()*q.plan.Depth, math.Max(-q.plan.Depth/2, q.level-used+charged))
+	// What was charged for use elsewhere that no reading has told of yet is a guess, and this one
+	// tells how far the store is from empty.
+	q.level += (1 - few) * thinTold * math.Max(0, c.whole()*q.plan.Depth*(1-pct/100)-q.level)
 }
 
 // learn finds when the meter's periods end and how late they are told: the pair under
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -101,3 +101,36 @@
 		t.Errorf("it is remembered for %.1f s where each server answers often", r)
 	}
 }
+
+// A gateway of many that refuses most of a customer's tries doesn't take the others to do so too:
+// readings below the quota bring its chance down again, and large requests are refused before small.
+func TestReadingsBelowTheQuotaEndRefusals(t *testing.T) {
+	s := fleet(80)
+	s.Plans[0].Rate, s.Plans[0].Depth = 10, 40
+	g := newGate(t, s, on(1, 2, 3)...)
+	q := g.c.customerOf(g.c.plans[0], "x", 60)
+	read := func(pct int) {
+		g.c.now += 4 * time.Second
+		g.c.meter(q, pct+1, 2)
+	}
+	for i := 0; i < 4; i++ {
+		read(180)
+	}
+	if d := g.c.chanceNow(q); d < 0.6 {
+		t.Fatalf("chance %.2f at nearly twice the quota", d)
+	}
+	if small, large := g.c.chanceFor(q, 1), g.c.chanceFor(q, 8); small >= large {
+		t.Errorf("chance %.2f for one unit, %.2f for eight", small, large)
+	}
+	for i := 0; i < 8; i++ {
+		read(60)
+	}
+	if d := g.c.chanceNow(q); d > 0.3 {
+		t.Errorf("chance %.2f after 32 s at 60%% of the quota", d)
+	}
+	q.level = -10
+	read(10)
+	if q.level < 0 {
+		t.Errorf("the store is taken for %.1f after a reading of 10%%", q.level)
+	}
+}
