Let requests of any size at cold servers by debt and chance, bounded for the whole herd

At fault: coldRoom cut each store to the units of the request that asked last, so one unit kept out all larger; cost took an unseen cold server for as slow as the fleet, and divided by warmth what the stores bound already.

--- a/control/control.go
+++ b/control/control.go
@@ -89,6 +89,9 @@
 	shutFor      = 15 * time.Second // how long a server that refused a plan is not tried for it
 	asideMost    = 8 * time.Second
 	coldSafety   = 0.5   // part of a cold server's budget that is used
+	herdCold     = 0.8   // the same where a herd goes by what the servers hold
+	rateFirst    = 10.0  // answers a second that a gateway just started takes itself to get
+	coldSurge    = 1.5   // times its part of that at which a gateway of a herd turns to one, at most
 	retryEarn    = 0.1   // further attempts earned by each request
 	retryLeast   = 0.1   // the least that a further attempt takes of what was earned
 	retryMost    = 20.0  // further attempts saved up at most
@@ -165,7 +168,7 @@
 	if m.HasCameUp && c.now < m.CameUp+c.set.Cold {
 		s.coldRamp, s.coldFrom = true, max(m.CameUp, s.coldFrom)
 		if s.tokens, s.tokensAt = 0, c.now; c.herd() { // so that not all send at the same moment
-			s.tokens = c.rng.Float64() * c.unitsMean
+			s.tokens = -c.rng.Float64() * c.unitsMean
 		}
 	}
 }
@@ -651,7 +654,7 @@
 // ---- server choice ----
 
 // pick is the server of least expected wait that the rules allow; nil is to wait. Guards against a
-// herd that takes the warm servers alone, as each of it holds too little at one to tell how busy it
+// herd that takes the same few servers, as each of it holds too little at one to tell how busy it
 // is: while some are cold it shares them by chance, as the least of costs each times an exponential
 // draw falls on a server as often as its speed and warmth are of the sum.
 func (c *Controller) pick(r *request) *server {
@@ -692,8 +695,10 @@
 // cost is the expected wait at a server: its latency times what it holds of ours.
 func (c *Controller) cost(s *server) float64 {
 	base := c.latency
-	if s.coldRamp && c.coldLatency > 0 { // a cold one holds less, and is no slower for what it holds
-		base = c.coldLatency
+	if s.coldRamp { // it holds less and is no slower for that; its queue is new
+		if base = c.coldLatency; base == 0 {
+			base = math.Min(c.idle, c.latency)
+		}
 	}
 	base = math.Max(base, 1e-3)
 	lat := base
@@ -706,7 +711,7 @@
 	}
 	n := float64(s.working() + s.ghosts)
 	cost := lat * (n + 1)
-	if s.coldRamp {
+	if s.coldRamp && !c.herd() { // else what all may send there is bounded by its warmth: see coldRoom
 		cost /= c.warmth(s)
 	}
 	f := math.Max(0, c.failing(s)-failGain) // one failure says nothing
@@ -764,11 +769,21 @@
 	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
 	rate := math.Max(coldSafety*c.set.FallMultiple*w*c.warmRate(), 1/float64(c.set.GroupSize))
 	if c.herd() { // too little passes here to tell what a server does: it holds so many at a time
-		rate = math.Max(rate, coldSafety*c.set.FallMultiple*w*c.unitsMean*groupLeast/
+		rate = math.Max(rate, herdCold*c.set.FallMultiple*w*c.unitsMean*groupLeast/
 			(float64(c.set.GroupSize)*math.Max(c.idle, tick.Seconds())))
 	}
 	s.tokens += rate * (c.now - s.tokensAt).Seconds()
-	s.tokens, s.tokensAt = math.Min(s.tokens, math.Max(units, rate*c.set.Fall.Seconds()/2)), c.now
+	if s.tokensAt = c.now; c.herd() {
+		// Each may go into debt for a request, as small ones would else keep the store too low for
+		// others; and turns to the server by chance, so that not all do at one moment.
+		s.tokens = math.Min(s.tokens, rate*c.set.Fall.Seconds()/2)
+		answers := c.answerRate
+		if answers == 0 {
+			answers = rateFirst
+		}
+		return s.tokens >= 0 && c.rng.Float64()*c.unitsMean*answers < coldSurge*rate
+	}
+	s.tokens = math.Min(s.tokens, math.Max(units, rate*c.set.Fall.Seconds()/2))
 	return s.tokens >= units
 }
 
