Let each of many gateways turn to its own part of the servers first

A server is now home for 20 of a group, whatever its size, by a number of its own; others cost 1.6 times as much. Groups of 20 and fewer are as before.

--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,7 @@
 	fewGateways  = 4.0              // of a customer, to which each is told of most of its use
 	thinTold     = 0.4              // part of the way that a reading moves the store there towards what it tells
 	thinOwn      = 0.1              // weight of own tries beside readings where the gateways are many
+	thinUnseen   = 0.5              // part of the chance that counts before the first reading
 	thinSharp    = 2.0              // by which the power of what fits the quota grows there
 	unmetered    = 2.0              // s of use that the meter has not told yet
 	storeHigh    = 0.08             // part of the store above which the chance is not applied
@@ -69,6 +70,10 @@
 	custMost     = 20000            // customers from half of which the idle are forgotten
 	latencyGain  = 0.2              // gain of a server's latency estimate
 	fleetGain    = 0.02             // gain of the fleet's latency estimate
+	homeGateways = 20.0             // of a group, that turn to a server first
+	homeServers  = 9.0              // to which a gateway turns first at least
+	awayCost     = 1.6              // factor on the cost of the others
+	golden       = 0.6180339887     // spreads whole numbers evenly over a turn
 	triedCost    = 4.0              // factor on the cost of a server that this request has tried
 	asideCost    = 1e6              // factor on the cost of a server put aside: where there is no other
 	failGain     = 0.15             // gain of the estimate of a server's failures
@@ -318,10 +323,15 @@
 // chanceFor is the chance of refusal of a request of some units: where many gateways each know
 // little of a store, a large request is the likelier to find it too low.
 func (c *Controller) chanceFor(q *customer, units float64) float64 {
-	if q.plan.Rate == 0 || !q.metered {
+	if q.plan.Rate == 0 {
 		return q.chance
 	}
-	return math.Min(chanceMax, 1-math.Pow(c.fits(q), 1+(1-q.few())*thinSharp*units/c.unitsMean))
+	few := q.few()
+	chance := math.Min(chanceMax, 1-math.Pow(c.fits(q), 1+(1-few)*thinSharp*units/c.unitsMean))
+	if !q.metered {
+		chance *= (1 - few) * thinUnseen
+	}
+	return chance
 }
 
 // fits is the part of a customer's demand that its quota holds, as far as is known.
@@ -714,10 +724,24 @@
 	if s.coldRamp && !c.herd() { // else what all may send there is bounded by its warmth: see coldRoom
 		cost /= c.warmth(s)
 	}
+	if !s.coldRamp && !c.home(s) {
+		cost *= awayCost
+	}
 	f := math.Max(0, c.failing(s)-failGain) // one failure says nothing
 	return cost * (1 + failCost*f*f) * (1 + tieNoise*c.rng.Float64())
 }
 
+// home tells whether a server is one of those that this gateway turns to first: each server is so
+// for homeGateways of the group, in turn by a number of its own, so that the loads are even and a
+// change of the list moves no other. Guards against many gateways that each open connections to
+// every server, and know next to nothing of any. One that is slow or full still costs more than
+// others elsewhere.
+func (c *Controller) home(s *server) bool {
+	part := math.Max(homeGateways/float64(c.set.GroupSize), homeServers/math.Max(c.usables, 1))
+	_, turn := math.Modf(float64(c.set.SelfIndex)/float64(c.set.GroupSize) + float64(s.Server)*golden)
+	return turn < part
+}
+
 // failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
 // as a server that is not chosen has no chance to do better.
 func (c *Controller) failing(s *server) float64 {
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -245,3 +245,72 @@
 		}
 	}
 }
+
+// Each server has an even part of a large group that turns to it first; a change of the list moves
+// no other; a small group turns to all. A gateway then uses few servers, but leaves slow ones.
+func TestGatewaysTurnToTheirOwnServersFirst(t *testing.T) {
+	var ids []uint32
+	for id := uint32(1); id <= 60; id++ {
+		ids = append(ids, id)
+	}
+	homes := map[uint32]int{}
+	for i := 0; i < 80; i++ {
+		s := fleet(80)
+		s.SelfIndex = i
+		g := newGate(t, s, on(ids...)...)
+		zones, before := map[string]int{}, map[uint32]bool{}
+		for _, x := range g.c.order {
+			if before[x.Server] = g.c.home(x); before[x.Server] {
+				homes[x.Server]++
+				zones[x.Zone]++
+			}
+		}
+		if len(zones) < 2 {
+			t.Errorf("gateway %d turns to servers of one zone only", i)
+		}
+		g.do(List{Kind: Patch, Members: []Member{{Server: 7, Condition: Off}, {Server: 61, Zone: "z1"}}})
+		for _, x := range g.c.order {
+			if x.Server <= 60 && g.c.home(x) != before[x.Server] {
+				t.Errorf("gateway %d: server %d moved with the list", i, x.Server)
+			}
+		}
+	}
+	for id, n := range homes {
+		if n < 18 || n > 22 {
+			t.Errorf("%d of 80 gateways turn to server %d first", n, id)
+		}
+	}
+	few := newGate(t, fleet(3), on(ids...)...)
+	for _, x := range few.c.order {
+		if !few.c.home(x) {
+			t.Error("a gateway of three turns to some servers only")
+			break
+		}
+	}
+	g := newGate(t, fleet(80), on(ids...)...)
+	slow, draw := map[uint32]bool{}, 0
+	g.run(20*time.Second, 150*ms, func(server uint32) time.Duration {
+		x := g.c.servers[server]
+		if g.c.home(x) && server%3 == 0 {
+			slow[server] = true
+			return 900 * ms
+		}
+		draw++
+		return time.Duration(60+draw*7919%500) * ms // whatever the server
+	})
+	n, own := 0, 0
+	for _, x := range g.sends[len(g.sends)/2:] {
+		if slow[x.Server] {
+			n++
+		}
+		if g.c.home(g.c.servers[x.Server]) {
+			own++
+		}
+	}
+	if own < len(g.sends)*3/10 {
+		t.Errorf("%d of the last %d sends went to its own quarter of the servers", own, len(g.sends)/2)
+	}
+	if n > len(g.sends)/20 {
+		t.Errorf("%d of the last %d sends went to slow servers of its own", n, len(g.sends)/2)
+	}
+}
