--- a/control/control.go
+++ b/control/control.go
@@ -70,9 +70,9 @@
 	custMost     = 20000            // customers from half of which the idle are forgotten
 	latencyGain  = 0.2              // gain of a server's latency estimate
 	fleetGain    = 0.02             // gain of the fleet's latency estimate
-	homeGateways = 20.0             // of a group, that turn to a server first
-	homeServers  = 9.0              // to which a gateway turns first at least
-	awayCost     = 1.6              // factor on the cost of the others
+	homeGateways = 10.0             // of a group, that turn to a server first
+	homeServers  = 7.0              // to which a gateway turns first at least
+	awayCost     = 3.0              // factor on the cost of the others
 	golden       = 0.6180339887     // spreads whole numbers evenly over a turn
 	triedCost    = 4.0              // factor on the cost of a server that this request has tried
 	asideCost    = 1e6              // factor on the cost of a server put aside: where there is no other
