--- a/control/control.go
+++ b/control/control.go
@@ -94,7 +94,7 @@
 	shutFor      = 15 * time.Second // how long a server that refused a plan is not tried for it
 	asideMost    = 8 * time.Second
 	coldSafety   = 0.5   // part of a cold server's budget that is used
-	herdCold     = 0.8   // the same where a herd goes by what the servers hold
+	chanceSpan   = 4.5   // deviations by which what a herd sends in a span may pass its mean
 	rateFirst    = 10.0  // answers a second that a gateway just started takes itself to get
 	coldSurge    = 1.5   // times its part of that at which a gateway of a herd turns to one, at most
 	retryEarn    = 0.1   // further attempts earned by each request
@@ -791,21 +791,27 @@
 		return false
 	}
 	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
-	rate := math.Max(coldSafety*c.set.FallMultiple*w*c.warmRate(), 1/float64(c.set.GroupSize))
+	bears := c.set.FallMultiple * w * c.warmRate()
+	rate := math.Max(coldSafety*bears, 1/float64(c.set.GroupSize))
 	if c.herd() { // too little passes here to tell what a server does: it holds so many at a time
-		rate = math.Max(rate, herdCold*c.set.FallMultiple*w*c.unitsMean*groupLeast/
-			(float64(c.set.GroupSize)*math.Max(c.idle, tick.Seconds())))
+		does := groupLeast / math.Max(c.idle, tick.Seconds()) // requests a second, warm, for all
+		bears = math.Max(bears, c.set.FallMultiple*w*c.unitsMean*does/float64(c.set.GroupSize))
+		// Guards against the chance by which many come at one moment: what all send in a span is
+		// as uneven as its root.
+		span := math.Sqrt(c.set.FallMultiple * w * does * c.set.Fall.Seconds())
+		even := math.Sqrt(span*span+chanceSpan*chanceSpan/4) - chanceSpan/2
+		rate = bears * math.Min(coldSafety, even*even/math.Max(span*span, tiny))
 	}
 	s.tokens += rate * (c.now - s.tokensAt).Seconds()
 	if s.tokensAt = c.now; c.herd() {
 		// Each may go into debt for a request, as small ones would else keep the store too low for
-		// others; and turns to the server by chance, so that not all do at one moment.
-		s.tokens = math.Min(s.tokens, rate*c.set.Fall.Seconds()/2)
-		answers := c.answerRate
+		// others. Who has not come for longer comes by chance, so that not all do at one moment.
+		full, answers := rate*c.set.Fall.Seconds()/2, c.answerRate
 		if answers == 0 {
 			answers = rateFirst
 		}
-		return s.tokens >= 0 && c.rng.Float64()*c.unitsMean*answers < coldSurge*rate
+		s.tokens = math.Min(s.tokens, full)
+		return s.tokens >= 0 && (s.tokens < full || c.rng.Float64()*c.unitsMean*answers < coldSurge*rate)
 	}
 	s.tokens = math.Min(s.tokens, math.Max(units, rate*c.set.Fall.Seconds()/2))
 	return s.tokens >= units
