Bound further attempts and idle connections by the size of the group

Each of 80 nodes started with 20 further attempts saved up (1,600 at one moment) and could keep any number of idle connections to a server. Now each of many has 3, each of four and fewer 20 as before, and a group keeps about 64 idle connections a server, two a node at least. Tests sum both over groups of 1 to 100, and show odd lists lived through.

--- a/control/control.go
+++ b/control/control.go
@@ -99,7 +99,8 @@
 	coldSurge    = 1.5   // times its part of that at which a gateway of a herd turns to one, at most
 	retryEarn    = 0.1   // further attempts earned by each request
 	retryLeast   = 0.1   // the least that a further attempt takes of what was earned
-	retryMost    = 20.0  // further attempts saved up at most
+	retryMost    = 20.0  // further attempts saved up at most, by each of few gateways
+	retryFew     = 3.0   // and by each of many
 	zombieLife   = 2.0   // mean latencies that timed-out work is taken to go on at most
 	lateAim      = 0.18  // part of the aim that attempts may take on average before the bound is cut
 	lateMost     = 0.33  // part from which it is cut even where idle servers take half as long
@@ -124,7 +125,7 @@
 		return nil, err
 	}
 	c := newController(s, seed)
-	c.retries, c.nextTry, c.clock.lag, c.unitsMean = retryMost, retryAfter, lagFirst, unitsFirst
+	c.retries, c.nextTry, c.clock.lag, c.unitsMean = c.retryRoom(), retryAfter, lagFirst, unitsFirst
 	for i := range c.set.Classes {
 		k := &c.set.Classes[i]
 		c.classes[k.Name], c.usual[k] = k, &usualTTL{}
@@ -496,7 +497,7 @@
 	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, long: e.Long, arrived: c.now,
 		aim: c.now + k.Aim - waited, giveUp: c.now + e.TTL}
 	c.reqs[r.id] = r
-	c.retries = math.Min(retryMost, c.retries+retryEarn)
+	c.retries = math.Min(c.retryRoom(), c.retries+retryEarn)
 	c.enqueue(r, false)
 	part := queueAim
 	if p.Open > 0 {
@@ -990,6 +991,12 @@
 	c.wake(r, until-c.now-time.Millisecond)
 }
 
+// retryRoom is how many further attempts may be saved up: a part of what a whole group may. Guards
+// against many gateways that each have theirs full when they start, or when a hall is lost.
+func (c *Controller) retryRoom() float64 {
+	return math.Max(retryFew, retryMost*math.Min(1, fewGateways/float64(c.set.GroupSize)))
+}
+
 // dropped tells whether a request may go again for a while only, in which repeats are dropped.
 func (c *Controller) dropped(r *request) bool { return r.mayRun && r.class.Effect == Guarded }
 
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -315,3 +315,68 @@
 		t.Errorf("%d of the last %d sends went to slow servers of its own", n, len(g.sends)/2)
 	}
 }
+
+// What a group may save up for further attempts is bounded, whatever its size, and so is what all
+// of it may send again when every server fails at once.
+func TestSumOfFurtherAttempts(t *testing.T) {
+	for _, group := range []int{1, 3, 20, 80, 100} {
+		s := fleet(group)
+		s.Classes[0].Effect, s.SendCap = Free, 5
+		sum := 0
+		for i := 0; i < group; i++ {
+			c, err := New(s, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := &gate{t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{}, due: map[uint64]time.Duration{}}
+			g.do(List{Kind: Stale, Members: on(1, 2, 3, 4, 5, 6)})
+			c.bound, c.latency = 50, 0.2
+			for j := 0; j < 10; j++ { // each fails after as long as an answer takes
+				g.ask(fmt.Sprint(j), "job", "low", fmt.Sprint(j))
+			}
+			for told := 0; told < len(g.sends); told++ {
+				g.now += 200 * ms
+				g.reply(g.sends[told].ID, Errored, 0)
+			}
+			sum += len(g.sends) - 10
+		}
+		// Each of few has twenty, each of many three, and one for ten requests.
+		if most := max(4*20, 3*group) + group*2; sum > most || sum < group {
+			t.Errorf("%d gateways: %d further attempts, at most %d", group, sum, most)
+		}
+	}
+}
+
+// An empty list, a list of one and one wholly replaced: each request has its final answer in time,
+// and the gateway serves again by itself.
+func TestListsThatAreOddAreLivedThrough(t *testing.T) {
+	g := newGate(t, fleet(80), on(1, 2, 3)...)
+	g.do(List{Kind: Whole})
+	g.ask("a", "job", "low", "x")
+	if len(g.sends) != 0 {
+		t.Fatal("sent to a server that is not listed")
+	}
+	g.pass(3 * time.Second)
+	if _, refused := g.ends["a"].(Refuse); !refused {
+		t.Errorf("with no server a request ends as %T", g.ends["a"])
+	}
+	g.do(List{Kind: Whole, Members: on(9)})
+	g.ask("b", "job", "low", "y")
+	if len(g.sends) != 1 || g.sends[0].Server != 9 {
+		t.Fatalf("with one server: %v", g.sends)
+	}
+	g.do(List{Kind: Whole, Members: on(11, 12)})
+	g.reply("b", OK, 0)
+	g.now += time.Second
+	g.ask("c", "job", "low", "z")
+	if len(g.sends) != 2 || g.sends[1].Server < 11 {
+		t.Errorf("after a list wholly replaced: %v", g.sends)
+	}
+	g.do(List{Kind: Broken})
+	g.reply("c", OK, 0)
+	g.now += time.Second
+	g.ask("d", "job", "low", "w")
+	if len(g.sends) != 3 {
+		t.Error("without news the last list is not used")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,7 @@
 	if cfg.SocketFD > 0 {
 		memory /= 2 // a second process may run beside this one
 	}
-	up := newUpstream(cfg.Connect, cfg.Keepalive, socks, newBudget(memory))
+	up := newUpstream(cfg.Connect, cfg.Keepalive, cfg.Settings.GroupSize, socks, newBudget(memory))
 	l, err := newLoop(cfg, up, counts)
 	if err != nil {
 		return nil, err
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -28,6 +28,8 @@
 	answerMostTime = 30 * time.Second        // of an answer, and as much more as it needs at slowest
 	answerGrace    = 100 * time.Millisecond  // for an answer that came while the request broke
 	idlePart       = 2.0 / 3                 // of the servers' keepalive that a connection may idle here
+	idleGroup      = 64                      // connections of a whole group that idle to one app server
+	idleLeast      = 2                       // and of one node of it, at least
 	idleSweep      = time.Second             // how often idle connections are looked at
 	connBuffer     = 4 << 10
 	usedMost       = 10000 // per cent; what a meter may tell
@@ -75,6 +77,7 @@
 type upstream struct {
 	connect time.Duration
 	idleFor time.Duration
+	idle    int // connections that idle to one app server at most
 	sockets *sockets
 	budget  *budget
 
@@ -242,8 +245,8 @@
 
 func (b *longBody) Close() error { return nil }
 
-func newUpstream(connect, keepalive time.Duration, s *sockets, b *budget) *upstream {
-	u := &upstream{connect: connect, idleFor: time.Duration(idlePart * float64(keepalive)), sockets: s,
+func newUpstream(connect, keepalive time.Duration, group int, s *sockets, b *budget) *upstream {
+	u := &upstream{connect: connect, idle: max(idleLeast, idleGroup/max(group, 1)), idleFor: time.Duration(idlePart * float64(keepalive)), sockets: s,
 		budget: b, pools: make(map[*pool]struct{})}
 	s.evictServer = u.evict
 	return u
@@ -554,7 +557,8 @@
 	c.since = time.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if _, ok := u.pools[p]; !ok {
+	// Guards against many nodes that together keep more connections than an app server holds.
+	if _, ok := u.pools[p]; !ok || len(p.idle) >= u.idle {
 		c.Close()
 		return
 	}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -76,7 +76,7 @@
 			if tc.answer != "" {
 				endpoint = raw(t, tc.answer)
 			}
-			u := newUpstream(patience, patience, newSockets(1024, 0), newBudget(64))
+			u := newUpstream(patience, patience, 1, newSockets(1024, 0), newBudget(64))
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
 			if o := u.try(ctx, u.pool(endpoint), message(t, []byte("body"))); o.reason != tc.want {
@@ -102,7 +102,7 @@
 			c.Close()
 		}
 	}()
-	u := newUpstream(patience, patience, newSockets(1024, 0), newBudget(64))
+	u := newUpstream(patience, patience, 1, newSockets(1024, 0), newBudget(64))
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	if o := u.try(ctx, u.pool(l.Addr().String()), message(t, make([]byte, 64<<20))); o.reason != control.ConnectFailed {
@@ -126,7 +126,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			socks := newSockets(1024, 0)
-			u := newUpstream(patience, patience, socks, newBudget(64))
+			u := newUpstream(patience, patience, 1, socks, newBudget(64))
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			if o := u.try(ctx, u.pool(l.Addr().String()), message(t, tc.body)); o.reason != tc.want {
@@ -150,7 +150,7 @@
 		<-asked
 		cancel()
 	}()
-	u := newUpstream(patience, patience, newSockets(1024, 0), newBudget(64))
+	u := newUpstream(patience, patience, 1, newSockets(1024, 0), newBudget(64))
 	if o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.Cancelled {
 		t.Errorf("%d (%v)", o.reason, o.err)
 	}
@@ -173,7 +173,7 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
 	socks := newSockets(1024, 0)
-	u := newUpstream(patience, 2*patience, socks, newBudget(64))
+	u := newUpstream(patience, 2*patience, 1, socks, newBudget(64))
 	p := u.pool(a.Listener.Addr().String())
 	try := func() {
 		t.Helper()
@@ -231,7 +231,7 @@
 	a := newApp(t, served)
 	socks := newSockets(0, 0)
 	socks.most.Store(0)
-	u := newUpstream(patience, patience, socks, newBudget(64))
+	u := newUpstream(patience, patience, 1, socks, newBudget(64))
 	if o := u.try(context.Background(), u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.Moot || a.count() > 0 {
 		t.Errorf("%d (%v)", o.reason, o.err)
 	}
@@ -243,7 +243,7 @@
 	b := newApp(t, served)
 	socks := newSockets(0, 0)
 	socks.most.Store(1)
-	u := newUpstream(patience, 2*patience, socks, newBudget(64))
+	u := newUpstream(patience, 2*patience, 1, socks, newBudget(64))
 	for _, x := range []*app{a, b, a} {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		if o := u.try(ctx, u.pool(x.Listener.Addr().String()), message(t, nil)); o.reason != control.OK {
@@ -276,7 +276,7 @@
 			})
 			t.Cleanup(func() { close(over) })
 			socks := newSockets(1024, 0)
-			u := newUpstream(patience, patience, socks, newBudget(64))
+			u := newUpstream(patience, patience, 1, socks, newBudget(64))
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
 			o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil))
@@ -298,7 +298,7 @@
 		time.Sleep(answerStall + answerStall/3) // has to pass
 		io.WriteString(w, "ok")
 	})
-	u := newUpstream(patience, patience, newSockets(1024, 0), newBudget(64))
+	u := newUpstream(patience, patience, 1, newSockets(1024, 0), newBudget(64))
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	if o := u.try(ctx, u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.OK || string(o.body) != "ok" {
@@ -318,7 +318,7 @@
 		w.(http.Flusher).Flush() // a chunk of its own, so that there is a rest to wait for
 		io.WriteString(w, "k")
 	})
-	u := newUpstream(patience, 2*patience, newSockets(1024, 0), newBudget(64))
+	u := newUpstream(patience, 2*patience, 1, newSockets(1024, 0), newBudget(64))
 	p := u.pool(a.Listener.Addr().String())
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -347,7 +347,7 @@
 		io.WriteString(c, good)
 		first <- c
 	})
-	u := newUpstream(patience, 2*patience, newSockets(1024, 0), newBudget(64))
+	u := newUpstream(patience, 2*patience, 1, newSockets(1024, 0), newBudget(64))
 	p := u.pool(a.Listener.Addr().String())
 	for i := range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -369,3 +369,28 @@
 		}
 	}
 }
+
+// A node of a large group keeps few idle connections to one app server: the sum of a group is
+// bounded whatever its size.
+func TestIdleConnectionsOfAGroup(t *testing.T) {
+	a := newApp(t, func(http.ResponseWriter, *http.Request) {})
+	for group, want := range map[int]int{1: 5, 3: 5, 16: 4, 80: 2, 100: 2} {
+		socks := newSockets(1024, 0)
+		u := newUpstream(patience, patience, group, socks, newBudget(64))
+		p := u.pool(a.Listener.Addr().String())
+		for range 5 {
+			c, err := u.dial(t.Context(), p.endpoint)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer u.put(p, c)
+		}
+		t.Cleanup(func() {
+			if n := len(p.idle); n != want || socks.open.Load() != int64(want) {
+				t.Errorf("a node of %d keeps %d idle connections to a server and has %d open, not %d",
+					group, n, socks.open.Load(), want)
+			}
+			u.retire(p)
+		})
+	}
+}
