--- a/control/control.go
+++ b/control/control.go
@@ -158,6 +158,9 @@
 	}
 	c.merge(e)
 	c.usables = c.count((*server).usable)
+	for _, s := range c.order {
+		s.home = c.home(s)
+	}
 	if c.bound == 0 {
 		first := math.Min(perServer, groupFirst/float64(c.set.GroupSize))
 		c.bound = math.Max(c.floor(), first*c.count((*server).usable))
@@ -725,7 +728,7 @@
 	if s.coldRamp && !c.herd() { // else what all may send there is bounded by its warmth: see coldRoom
 		cost /= c.warmth(s)
 	}
-	if !s.coldRamp && !c.home(s) {
+	if !s.coldRamp && !s.home {
 		cost *= awayCost
 	}
 	f := math.Max(0, c.failing(s)-failGain) // one failure says nothing
--- a/control/state.go
+++ b/control/state.go
@@ -129,7 +129,7 @@
 
 type server struct {
 	Member
-	listed            bool
+	listed, home      bool
 	inflight, streams int     // attempts at work, and those of them whose answer has begun
 	ghosts            int     // attempts given up whose work is taken to go on
 	latency           float64 // s
