--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -380,3 +380,48 @@
 		t.Error("without news the last list is not used")
 	}
 }
+
+// What all gateways together have in flight at the start, and so the connections that they can open
+// at that moment, is bounded by the servers and not by the size of the group, but for one request
+// each; nobody probes or asks for lists beyond its watch.
+func TestSumOfSendsAtTheStart(t *testing.T) {
+	for _, group := range []int{1, 3, 20, 80, 100} {
+		for _, servers := range []int{1, 10, 60, 100} {
+			var ids []uint32
+			for id := uint32(1); id <= uint32(servers); id++ {
+				ids = append(ids, id)
+			}
+			sum := 0
+			for i := 0; i < group; i++ {
+				s := fleet(group)
+				s.SelfIndex, s.Probes, s.OnRequest = i, true, true
+				c, err := New(s, uint64(i))
+				if err != nil {
+					t.Fatal(err)
+				}
+				g := &gate{t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{}, due: map[uint64]time.Duration{}}
+				g.do(List{Kind: Stale, Members: on(ids...)})
+				for j := 0; j < 3*servers+10; j++ {
+					g.ask(fmt.Sprint(j), "job", "low", fmt.Sprint(j))
+				}
+				sum += len(g.sends)
+				g.pass(time.Second)
+				asked := 0
+				for _, a := range g.acts {
+					switch a.(type) {
+					case Probe:
+						t.Fatalf("%d gateways, %d servers: a probe", group, servers)
+					case Follow, Snapshot:
+						asked++
+					}
+				}
+				if asked > 1 {
+					t.Fatalf("%d gateways, %d servers: the list is asked for %d times in a second", group, servers, asked)
+				}
+			}
+			if most := int(groupFirst)*servers + group; sum > most || sum == 0 {
+				t.Errorf("%d gateways, %d servers: %d in flight at the start, at most %d", group, servers, sum, most)
+			}
+		}
+	}
+}
