Send a hasty client's try at once or not at all, and blame nobody for its time-out

"SENT ... bound=5.25" at 8 s, "bound=2.05" at 16 s, while warm servers take 1,075 requests a second of some 1,730 and their latency stands (0.143 and 0.167 s). 6,803 tries in 2 s get no turn.

At fault: judge counted a time-out of any length as trouble of the server and of the interval (strike, sawLatency, bad); onRequest let a try wait for half of its time, so that it went out with 145 ms left, took units and a place, and failed.

--- a/control/control.go
+++ b/control/control.go
@@ -108,6 +108,7 @@
 	idleCreep    = 1.005 // growth of the idle time in an interval without a shorter one
 	idleLeast    = 25    // answers before the least is kept
 	queueAim     = 0.4   // part of the aim that a request may wait in the queue
+	hastyWait    = 2.0   // mean latencies that a try must have left when it has waited
 	openAim      = 0.7   // the same where an open quota holds requests back
 	badCut       = 0.1   // part of an interval's outcomes that are full or timed out from which the bound is cut
 	badIdle      = 1.3   // times the idle time below which it is not
@@ -506,7 +507,10 @@
 	if p.Open > 0 {
 		part = openAim
 	}
-	c.wake(r, min(time.Duration(part*float64(k.Aim)), e.TTL/2, max(r.aim-c.now-seconds(c.latency), tick)))
+	// Guards, by the third, against a try of a hasty client that is sent when no answer can be there
+	// in its time any more: it takes units and a place for nothing.
+	c.wake(r, min(time.Duration(part*float64(k.Aim)), e.TTL/2, e.TTL-seconds(hastyWait*c.latency),
+		max(r.aim-c.now-seconds(c.latency), tick)))
 }
 
 // waited is what the client of a try has waited for earlier tries or for this gateway. A
@@ -920,6 +924,11 @@
 	case Moot: // says nothing of the server, which may be tried anew
 		s.probing = false
 	case TimedOut:
+		// Guards against clients that give up before an answer is due: what they did not wait for
+		// speaks neither against the server nor for a lower bound.
+		if took < r.class.Aim.Seconds() {
+			break
+		}
 		c.strike(s, 1)
 		c.sawLatency(s, took)
 		c.bad++
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -425,3 +425,70 @@
 		}
 	}
 }
+
+// Clients that give up before an answer is due make time-outs that tell nothing: neither is the bound
+// cut by them nor a server put aside, while time-outs of those who waited as long as they want an
+// answer within do both.
+func TestTimeOutsOfHastyClientsSpeakAgainstNobody(t *testing.T) {
+	for _, k := range []struct {
+		ttl   time.Duration
+		blame bool
+	}{{250 * ms, false}, {3 * time.Second, true}} {
+		g := newGate(t, settings(), on(1, 2)...)
+		g.run(10*time.Second, 100*ms, func(uint32) time.Duration { return 200 * ms })
+		g.c.bound, g.c.pressed = 8, false
+		cuts, aside := g.c.tally.cuts, false
+		for i := 0; i < 40; i++ {
+			id := fmt.Sprint("hasty", i)
+			g.do(Request{ID: id, Class: "job", Plan: "low", Customer: id, TTL: k.ttl, Units: 1, Spread: 2})
+			if g.n[id] == 0 {
+				continue // kept out by the cut bound
+			}
+			g.pass(k.ttl)
+			g.reply(id, TimedOut, 0)
+			aside = aside || g.c.Avoided(g.now) > 0
+		}
+		if blamed := g.c.tally.cuts > cuts || g.c.bound < 8; blamed != k.blame {
+			t.Errorf("after time-outs of %v the bound is %.1f", k.ttl, g.c.bound)
+		}
+		if aside != k.blame {
+			t.Errorf("by time-outs of %v a server is put aside: %v", k.ttl, aside)
+		}
+	}
+}
+
+// A try whose client leaves soon waits for a turn only as long as an answer could still be there in
+// its time: else it is refused at once, and takes neither units nor a place.
+func TestHastyTryDoesNotWaitForATurnInVain(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3)...)
+	g.run(10*time.Second, 300*ms, func(uint32) time.Duration { return 200 * ms })
+	ask := func(id string, ttl time.Duration) {
+		g.do(Request{ID: id, Class: "job", Plan: "low", Customer: id, TTL: ttl, Units: 1, Spread: 2})
+	}
+	const hasty = 300 * ms
+	for i := 0; i < 8; i++ { // by which such clients are known
+		id := fmt.Sprint(i)
+		ask(id, hasty)
+		if g.n[id] > 0 {
+			g.reply(id, OK, 0)
+		}
+	}
+	g.c.bound = 1
+	ask("out", 5*time.Second)
+	if g.n["out"] != 1 {
+		t.Fatalf("the bound has no room for one: %v", g.c.busyNow())
+	}
+	ask("hasty", hasty)
+	ask("patient", 5*time.Second)
+	g.pass(10 * ms)
+	if _, refused := g.ends["hasty"].(Refuse); !refused {
+		t.Errorf("a try with 300 ms left, where answers take 200 ms, ends as %T", g.ends["hasty"])
+	}
+	if g.ends["patient"] != nil {
+		t.Errorf("a try with 5 s left ends as %T without a wait", g.ends["patient"])
+	}
+	g.reply("out", OK, 0)
+	if g.n["patient"] != 1 || g.n["hasty"] != 0 {
+		t.Errorf("sent: patient %d, hasty %d", g.n["patient"], g.n["hasty"])
+	}
+}
