Let thirty gateways be home to a cold server, by a key that all nodes share

Ruled out: idle connections closed for want of room (116 of 512 descriptors) or by age ("aged=1").

At fault: coldRoom gave each gateway an even part of each cold server. Now four fifths of what one bears are for the gateways that it is home to, 30 of 300; the rest stays with all. Who is home went by ids that each node gives in the order in which it hears of servers, so it was not the same number for each server; now by a hash of the uid.

--- a/control/api.go
+++ b/control/api.go
@@ -101,6 +101,7 @@
 // Member is one entry of the server list.
 type Member struct {
 	Server    uint32
+	Key       uint32 // of the server at every gateway, where Server is this one's own; 0 is Server
 	Condition Condition
 	Zone      string
 	Cell      int
--- a/control/control.go
+++ b/control/control.go
@@ -73,6 +73,8 @@
 	homeGateways = 10.0             // of a group, that turn to a server first
 	homeServers  = 7.0              // to which a gateway turns first at least
 	awayCost     = 3.0              // factor on the cost of the others
+	coldHomes    = 3.0              // times as many that a cold one is home to
+	coldTheirs   = 0.8              // part of what a cold server bears that is for those
 	golden       = 0.6180339887     // spreads whole numbers evenly over a turn
 	triedCost    = 4.0              // factor on the cost of a server that this request has tried
 	asideCost    = 1e6              // factor on the cost of a server put aside: where there is no other
@@ -745,9 +747,22 @@
 // every server, and know next to nothing of any. One that is slow or full still costs more than
 // others elsewhere.
 func (c *Controller) home(s *server) bool {
+	key := s.Key
+	if key == 0 {
+		key = s.Server
+	}
+	_, turn := math.Modf(float64(c.set.SelfIndex)/float64(c.set.GroupSize) + float64(key)*golden)
+	return turn < c.homes(s)
+}
+
+// homes is the part of the group that a server is home to, and so of the servers that are home here.
+// A cold one is so for more: what each may send it is little, and little passes through some.
+func (c *Controller) homes(s *server) float64 {
 	part := math.Max(homeGateways/float64(c.set.GroupSize), homeServers/math.Max(c.usables, 1))
-	_, turn := math.Modf(float64(c.set.SelfIndex)/float64(c.set.GroupSize) + float64(s.Server)*golden)
-	return turn < part
+	if s.coldRamp {
+		part *= coldHomes
+	}
+	return math.Min(1, part)
 }
 
 // failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
@@ -792,6 +807,7 @@
 	}
 	if c.now >= s.coldFrom+c.set.Cold {
 		s.coldRamp = false
+		s.home = c.home(s)
 		return true
 	}
 	w := c.warmth(s)
@@ -803,7 +819,14 @@
 	rate := math.Max(coldSafety*bears, 1/float64(c.set.GroupSize))
 	if c.herd() { // too little passes here to tell what a server does: it holds so many at a time
 		does := groupLeast / math.Max(c.idle, tick.Seconds()) // requests a second, warm, for all
-		bears = math.Max(bears, c.set.FallMultiple*w*c.unitsMean*does/float64(c.set.GroupSize))
+		each := c.set.FallMultiple * w * c.unitsMean * does / float64(c.set.GroupSize)
+		// Guards against a new connection for nearly each request to a cold server: most of what it
+		// bears is for those that it is home to, whatever passes through them.
+		homes := c.homes(s)
+		theirs := coldTheirs * (1 - homes)
+		if bears = (1 - theirs) * math.Max(bears, each); s.home {
+			bears += theirs * each / homes
+		}
 		// Guards against the chance by which many come at one moment: what all send in a span is
 		// as uneven as its root.
 		span := math.Sqrt(c.set.FallMultiple * w * does * c.set.Fall.Seconds())
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -492,3 +492,48 @@
 		t.Errorf("sent: patient %d, hasty %d", g.n["patient"], g.n["hasty"])
 	}
 }
+
+// A gateway of many turns to a part of the cold servers, and uses its connections to them again: its
+// part of all that they bear is for few of them. Which ones goes by the key that all gateways know a
+// server by, so that each is home to as many.
+func TestFewOfTheColdServersAreHome(t *testing.T) {
+	s := fleet(300)
+	s.Cold = 40 * time.Second
+	homes := map[uint32]int{}
+	for i := 0; i < s.GroupSize; i += 7 {
+		s.SelfIndex = i
+		var cold []Member
+		for key := uint32(1); key <= 100; key++ { // each gateway has its own order
+			id := 1 + (key*37+uint32(i))%100
+			cold = append(cold, Member{Server: id, Key: key * 2654435761, Zone: "z1", Size: 1, CameUp: time.Hour - 4*time.Second, HasCameUp: true})
+		}
+		g := newGate(t, s, cold...)
+		for _, x := range g.c.order {
+			if x.home {
+				homes[x.Key]++
+			}
+		}
+		if i > 0 {
+			continue
+		}
+		g.c.bound, g.c.idle, g.c.latency, g.c.seen, g.c.unitsMean = 4, 0.1, 0.1, 100, 1
+		g.run(20*time.Second, 100*ms, func(uint32) time.Duration { return 100 * ms })
+		used := map[uint32]bool{}
+		for _, x := range g.sends {
+			used[x.Server] = true
+		}
+		if len(g.sends) < 40 || len(used) > len(g.sends)/2 {
+			t.Errorf("%d sends to cold servers went to %d of 100", len(g.sends), len(used))
+		}
+	}
+	want := float64((s.GroupSize+6)/7) * coldHomes * homeGateways / float64(s.GroupSize)
+	want = max(want, float64((s.GroupSize+6)/7)*coldHomes*homeServers/100)
+	for key, n := range homes {
+		if math.Abs(float64(n)-want) > 2 {
+			t.Errorf("server %d is home to %d of %d gateways, not %.1f", key, n, (s.GroupSize+6)/7, want)
+		}
+	}
+	if len(homes) != 100 {
+		t.Errorf("%d of 100 servers are home to some", len(homes))
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -71,6 +73,16 @@
 	return control.Fading
 }
 
+// member is what the module is told of a target under the id that this node gave it. Ids are given
+// in the order in which a node hears of servers; the key is the same at all nodes.
+func (t *target) member(id uint32) control.Member {
+	key := fnv.New32a()
+	io.WriteString(key, t.UID)
+	return control.Member{Server: id, Key: key.Sum32(), Condition: t.condition(), Zone: t.Zone, Cell: t.Group,
+		Flavor: t.Model, Size: t.Capacity, HasCameUp: t.BootMS > 0,
+		CameUp: time.Duration(t.BootMS * float64(time.Millisecond))}
+}
+
 // watcher keeps a watch on the server list, whatever becomes of its connections.
 type watcher struct {
 	client  *http.Client
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -156,3 +156,14 @@
 		}
 	}
 }
+
+// Nodes that hear of servers in another order know them by the same keys.
+func TestServersHaveTheSameKeyAtAllNodes(t *testing.T) {
+	a, b := target{UID: "s-1", State: "up"}, target{UID: "s-2", State: "up"}
+	if here, there := a.member(1), a.member(2); here.Key != there.Key || here.Key == 0 || here.Server == there.Server {
+		t.Errorf("%+v and %+v", here, there)
+	}
+	if a.member(1).Key == b.member(1).Key {
+		t.Error("two servers have one key")
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -421,8 +421,7 @@
 			id = l.lastID
 			l.ids[t.UID] = id
 		}
-		m := control.Member{Server: id, Condition: t.condition(), Zone: t.Zone, Cell: t.Group, Flavor: t.Model,
-			Size: t.Capacity, HasCameUp: t.BootMS > 0, CameUp: time.Duration(t.BootMS * float64(time.Millisecond))}
+		m := t.member(id)
 		e.Members = append(e.Members, m)
 		listed[t.UID] = m.Condition != control.Off
 		if p := l.pools[id]; p != nil && (m.Condition != control.On || p.endpoint != t.Endpoint) {
