Bound the customers that are remembered by the memory that there is

Ruled out by TestMemoryIsBounded: requests, labels, attempts and servers, which end under 100 and 10. The test fails without it (10,000 remembered).

--- a/control/api.go
+++ b/control/api.go
@@ -86,6 +86,7 @@
 	RetryAfter    bool
 	MaxRetryAfter time.Duration
 	CrossZone     float64 // price of an attempt that leaves the gateway's zone
+	Customers     int     // remembered of late, beyond which the idle are forgotten sooner; 0 is not told
 }
 
 // Condition is a server's state in the list.
--- a/control/control.go
+++ b/control/control.go
@@ -67,7 +67,7 @@
 	toldAge      = 20.0             // s after which a reading has lost 63% of its weight
 	coverLeast   = 0.3              // part of the periods told from which the store goes before the chance
 	custKeep     = time.Minute      // the longest that an idle customer is remembered, if its stores are full
-	custMost     = 20000            // customers from half of which the idle are forgotten
+	custMost     = 20000            // customers from half of which the idle are forgotten anyway
 	latencyGain  = 0.2              // gain of a server's latency estimate
 	fleetGain    = 0.02             // gain of the fleet's latency estimate
 	homeGateways = 10.0             // of a group, that turn to a server first
@@ -462,8 +462,11 @@
 			delete(c.custs, k)
 		}
 	}
-	keep := custKeep
-	for len(c.custs) > custMost/2 && keep > interval {
+	keep, most := custKeep, custMost/2
+	if c.set.Customers > 0 {
+		most = min(most, c.set.Customers)
+	}
+	for len(c.custs) > most && keep > interval {
 		keep /= 2
 		c.start = max(c.start, c.now-keep)
 		for k, q := range c.custs {
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -298,7 +298,9 @@
 
 // Memory for customers, requests and servers stays bounded.
 func TestMemoryIsBounded(t *testing.T) {
-	g := newGate(t, settings(), on(1, 2, 3)...)
+	s := settings()
+	s.Customers = 1500 // as on a machine of 26 MB
+	g := newGate(t, s, on(1, 2, 3)...)
 	for i := 0; i < 30000; i++ {
 		id := fmt.Sprint("r", i)
 		g.ask(id, "job", "low", fmt.Sprint("once", i))
@@ -311,7 +313,7 @@
 			g.sends, g.acts = nil, nil
 		}
 	}
-	if n := len(g.c.custs); n > custMost {
+	if n := len(g.c.custs); n > s.Customers+500 { // and those of the second since they were last looked at
 		t.Errorf("%d customers remembered", n)
 	}
 	if n := len(g.c.reqs) + len(g.c.labels) + len(g.c.attempts); n > 100 {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -79,6 +79,7 @@
 	if c.Settings, err = wire.Settings(paths); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
+	c.Settings.Customers = customersIn(c.MemoryMB)
 	c.Settings.OnRequest = false // on sockets a watch is always kept; nothing has to be asked for
 	if c.Keepalive, err = millis(paths, "limits.keepalive", 15*time.Second); err != nil {
 		return c, err
@@ -87,6 +88,16 @@
 	return c, err
 }
 
+const (
+	customerBytes = 3200    // what the module holds of a customer, at most
+	customerPart  = 1.0 / 6 // of the memory limit that they may come to
+)
+
+// customersIn is how many customers the module may remember under a limit on memory.
+func customersIn(memoryMB int) int {
+	return int(customerPart * float64(memoryMB<<20) / customerBytes)
+}
+
 // checkAddresses names the first address that is none.
 func (c *Config) checkAddresses() error {
 	addrs := []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"console", c.Console}}
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -20,6 +20,9 @@
 		c.Keepalive != 15*time.Second || c.Connect != 250*time.Millisecond {
 		t.Errorf("%+v", c)
 	}
+	if small := customersIn(32); s.Customers != customersIn(192) || small < 1500 || small*customerBytes > 32<<20/4 {
+		t.Errorf("%d customers in 192 MB, %d in 32", s.Customers, small)
+	}
 	if s.GroupSize != 2 || !s.CostAfter || !s.MarksRetry || s.SendCap != 6 || s.Cold != 15*time.Second ||
 		len(s.Classes) != 2 || len(s.Plans) != 2 {
 		t.Errorf("settings %+v", s)
