Take a watch's random pauses from the node's seed

At fault: newWatcher drew from the process's own random source, so a node started with the same seed does not do as before, and that 300 nodes differ rested on a source which no setting names. TestPausesOfWatchesComeFromTheSeed fails without it.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -88,9 +88,10 @@
 	leave context.CancelFunc // ends the stay at the present address
 }
 
-func newWatcher(addr string, known listing, group int, tell func(listing)) *watcher {
+func newWatcher(addr string, known listing, group int, seed uint64, tell func(listing)) *watcher {
+	rng := rand.New(rand.NewPCG(seed, watchStream))
 	w := &watcher{url: watchURL(addr), at: addr, rev: known.Rev, silence: watchSilence, tell: tell, leave: func() {}, group: group,
-		jitter: func(most time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(most) + 1)) },
+		jitter: func(most time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(most) + 1)) },
 		pause: func(ctx context.Context, d time.Duration) {
 			t := time.NewTimer(d)
 			defer t.Stop()
@@ -110,6 +111,9 @@
 
 const noRev = -1
 
+// watchStream sets the watch's random numbers apart from the module's, which come of the same seed.
+const watchStream = 0x7761746368
+
 // turns is how long discovery may take for one call of each node of the group.
 func (w *watcher) turns() time.Duration {
 	if w.group < herdLeast {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 
 func startWatch(t *testing.T, a *agent, rev int64, silence time.Duration) (<-chan listing, *watcher) {
 	told := make(chan listing, 100)
-	w := newWatcher(a.addr(), listing{Rev: rev}, 2, func(l listing) { told <- l })
+	w := newWatcher(a.addr(), listing{Rev: rev}, 2, 1, func(l listing) { told <- l })
 	w.silence = silence
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -109,7 +110,7 @@
 		"watch=1": {},
 	} {
 		a := newAgent(t)
-		w := newWatcher(a.addr(), known, 2, func(listing) {})
+		w := newWatcher(a.addr(), known, 2, 1, func(listing) {})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); w.run(ctx) }()
@@ -133,7 +134,7 @@
 		3:  {0, backoffFirst / 4, backoffMost},
 		36: {36 * herdTurn, 36 * herdTurn / 8, 2 * 36 * herdTurn},
 	} {
-		w := newWatcher(full.Listener.Addr().String(), listing{Rev: 3}, group, func(listing) {})
+		w := newWatcher(full.Listener.Addr().String(), listing{Rev: 3}, group, 1, func(listing) {})
 		ctx, cancel := context.WithCancel(context.Background())
 		var pauses []time.Duration
 		w.jitter = func(most time.Duration) time.Duration { return most }
@@ -156,3 +157,26 @@
 		}
 	}
 }
+
+// The pauses of a watch come from the node's seed: those of many nodes differ, and one that is
+// started again with a seed does as before.
+func TestPausesOfWatchesComeFromTheSeed(t *testing.T) {
+	first := map[time.Duration]bool{}
+	for seed := range uint64(300) {
+		pauses := func() (d []time.Duration) {
+			w := newWatcher("127.0.0.1:9", listing{Rev: 3}, 300, seed, func(listing) {})
+			for range 5 {
+				d = append(d, w.jitter(time.Second))
+			}
+			return d
+		}
+		a, b := pauses(), pauses()
+		if !slices.Equal(a, b) {
+			t.Fatalf("seed %d pauses for %v and for %v", seed, a, b)
+		}
+		first[a[0]/(100*time.Millisecond)] = true
+	}
+	if len(first) < 10 {
+		t.Errorf("300 nodes begin in %d of the ten parts of a second", len(first))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 			return nil, err
 		}
 	}
-	n.discovery = newWatcher(cfg.Discovery, cfg.Known, cfg.Settings.GroupSize, func(news listing) {
+	n.discovery = newWatcher(cfg.Discovery, cfg.Known, cfg.Settings.GroupSize, cfg.Seed, func(news listing) {
 		kind := control.Patch
 		if news.All {
 			kind = control.Whole
