--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -176,7 +176,7 @@
 // that counts, though it answers faster than the rest and each would have it to itself.
 func TestSumOfSendsToAColdServer(t *testing.T) {
 	const warmDoes = 12.0 // requests a second
-	for _, group := range []int{1, 3, 10, 40, 100} {
+	for _, group := range []int{1, 3, 10, 40, 100, 300} {
 		s := fleet(group)
 		s.Cold, s.Fall = 16*time.Second, 1500*ms
 		gates := make([]*gate, group)
@@ -319,7 +319,7 @@
 // What a group may save up for further attempts is bounded, whatever its size, and so is what all
 // of it may send again when every server fails at once.
 func TestSumOfFurtherAttempts(t *testing.T) {
-	for _, group := range []int{1, 3, 20, 80, 100} {
+	for _, group := range []int{1, 3, 20, 80, 300} {
 		s := fleet(group)
 		s.Classes[0].Effect, s.SendCap = Free, 5
 		sum := 0
@@ -385,8 +385,8 @@
 // at that moment, is bounded by the servers and not by the size of the group, but for one request
 // each; nobody probes or asks for lists beyond its watch.
 func TestSumOfSendsAtTheStart(t *testing.T) {
-	for _, group := range []int{1, 3, 20, 80, 100} {
-		for _, servers := range []int{1, 10, 60, 100} {
+	for _, group := range []int{1, 3, 20, 80, 300} {
+		for _, servers := range []int{1, 10, 60, 200} {
 			var ids []uint32
 			for id := uint32(1); id <= uint32(servers); id++ {
 				ids = append(ids, id)
