Reckon the meter's misfit once a bin, and skip failures of servers that had none

Seen in a profile of a request and its answer among 200 servers (51 us): 43% in meterClock.learn, which added up the same 76 spans of use 660 times, and 27% in the exponentials of failing, which is nothing at nearly all servers. A node has a sixth of a core, so 51 us are 0.3 ms of a request. Nothing decided changes: same sums, same draws.

--- a/control/control.go
+++ b/control/control.go
@@ -419,13 +419,16 @@
 // read many times or matched with another's sends; holds for late reports of any cause.
 func (m *meterClock) learn(q *customer, used, units, part float64, now int64) {
 	least, at, lag := math.Inf(1), int64(0), int64(0)
+	var misfit [binsPeriod + lagMost]float64 // of a period that ended so many bins ago
+	for ago := range misfit {
+		own := q.own.over(now - int64(ago))
+		misfit[ago] = (math.Max(0, own-used) + lagWeak*math.Max(0, part*used-own)) / (units + used + own)
+	}
 	for ph := int64(0); ph < binsPeriod; ph++ {
-		f := flip(now, ph)
+		ago := now - flip(now, ph)
 		for l := int64(0); l < lagMost; l++ {
-			own := q.own.over(f - l)
-			miss := math.Max(0, own-used) + lagWeak*math.Max(0, part*used-own)
 			e := &m.miss[ph][l]
-			if *e = *e*lagKeep + miss/(units+used+own); *e < least {
+			if *e = *e*lagKeep + misfit[ago+l]; *e < least {
 				least, at, lag = *e, ph, l
 			}
 		}
@@ -752,6 +755,9 @@
 // failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
 // as a server that is not chosen has no chance to do better.
 func (c *Controller) failing(s *server) float64 {
+	if s.failing == 0 { // as of most, and each choice looks at all
+		return 0
+	}
 	return s.failing * math.Exp(-(c.now-s.failingAt).Seconds()/c.recall())
 }
 
