Drop a whole list that names no targets, and a start time that no clock can show

Seen by feeding the watch such lines: {"rev":44,"all":true} emptied the list, so that every request was refused until the next news, and boot_ms 1e300 overflowed into a start in the far past. At fault: take and check looked at uid and endpoint only. The last list stays now and the watch asks anew from its version; an empty list in so many words ("targets":[]) is still taken. Three cases of TestWatchComesBack fail without it.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -26,6 +26,7 @@
 	herdMost      = 4 * time.Second        // what discovery tells counts as told after 6 s
 	firstMost     = time.Second            // half of the time after which a drain binds who could have asked
 	watchLineMost = 4 << 20
+	bootMost      = 9e12 // ms: what is beyond, in the year 2255, overflows a time
 )
 
 // listing is one message of discovery.
@@ -56,6 +57,9 @@
 		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.State != "removed" {
 			return fmt.Errorf("rev %d: target %s: %w", l.Rev, t.UID, err)
 		}
+		if t.BootMS < 0 || t.BootMS > bootMost {
+			return fmt.Errorf("rev %d: target %s: boot_ms: %g is no time", l.Rev, t.UID, t.BootMS)
+		}
 	}
 	return nil
 }
@@ -231,6 +235,10 @@
 	if err := l.check(); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
+	if l.All && l.Targets == nil {
+		// Guards against a whole list whose servers were lost on the way: none would be left to send to.
+		return fmt.Errorf("discovery: rev %d: a whole list names no targets", l.Rev)
+	}
 	if !l.All && l.Rev < w.rev {
 		// Guards against a discovery that began to count anew: its changes don't fit our list.
 		w.rev = noRev
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -42,6 +42,9 @@
 		"not JSON":           {"<html>\n", "from=43"},
 		"a target of no uid": {`{"rev":44,"targets":[{"endpoint":"127.0.0.1:9","state":"up"}]}` + "\n", "from=43"},
 		"no endpoint":        {`{"rev":44,"targets":[{"uid":"s-2","state":"up"}]}` + "\n", "from=43"},
+		"no targets":         {`{"rev":44,"all":true}` + "\n", "from=43"},
+		"a time of no clock": {strings.Replace(strings.Replace(oneUp, "43", "44", 1), "1700000000000", "1e300", 1), "from=43"},
+		"a time below none":  {strings.Replace(strings.Replace(oneUp, "43", "44", 1), "1700000000000", "-5", 1), "from=43"},
 		"counts anew":        {`{"rev":3,"targets":[]}` + "\n", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
