--- a/control/control.go
+++ b/control/control.go
@@ -67,7 +67,7 @@
 	toldAge      = 20.0             // s after which a reading has lost 63% of its weight
 	coverLeast   = 0.3              // part of the periods told from which the store goes before the chance
 	custKeep     = time.Minute      // the longest that an idle customer is remembered, if its stores are full
-	custMost     = 20000            // customers from half of which the idle are forgotten
+	custMost     = 20000            // customers from half of which the idle are forgotten anyway
 	latencyGain  = 0.2              // gain of a server's latency estimate
 	fleetGain    = 0.02             // gain of the fleet's latency estimate
 	homeGateways = 10.0             // of a group, that turn to a server first
@@ -422,13 +422,16 @@
 // read many times or matched with another's sends; holds for late reports of any cause.
 func (m *meterClock) learn(q *customer, used, units, part float64, now int64) {
 	least, at, lag := math.Inf(1), int64(0), int64(0)
+	var misfit [binsPeriod + lagMost]float64 // of a period that ended so many bins ago
+	for ago := range misfit {
+		own := q.own.over(now - int64(ago))
+		misfit[ago] = (math.Max(0, own-used) + lagWeak*math.Max(0, part*used-own)) / (units + used + own)
+	}
 	for ph := int64(0); ph < binsPeriod; ph++ {
-		f := flip(now, ph)
+		ago := now - flip(now, ph)
 		for l := int64(0); l < lagMost; l++ {
-			own := q.own.over(f - l)
-			miss := math.Max(0, own-used) + lagWeak*math.Max(0, part*used-own)
 			e := &m.miss[ph][l]
-			if *e = *e*lagKeep + miss/(units+used+own); *e < least {
+			if *e = *e*lagKeep + misfit[ago+l]; *e < least {
 				least, at, lag = *e, ph, l
 			}
 		}
@@ -465,8 +468,11 @@
 			delete(c.custs, k)
 		}
 	}
-	keep := custKeep
-	for len(c.custs) > custMost/2 && keep > interval {
+	keep, most := custKeep, custMost/2
+	if c.set.Customers > 0 {
+		most = min(most, c.set.Customers)
+	}
+	for len(c.custs) > most && keep > interval {
 		keep /= 2
 		c.start = max(c.start, c.now-keep)
 		for k, q := range c.custs {
@@ -768,6 +774,9 @@
 // failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
 // as a server that is not chosen has no chance to do better.
 func (c *Controller) failing(s *server) float64 {
+	if s.failing == 0 { // as of most, and each choice looks at all
+		return 0
+	}
 	return s.failing * math.Exp(-(c.now-s.failingAt).Seconds()/c.recall())
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -28,6 +28,7 @@
 	herdMost      = 4 * time.Second        // what discovery tells counts as told after 6 s
 	firstMost     = time.Second            // half of the time after which a drain binds who could have asked
 	watchLineMost = 4 << 20
+	bootMost      = 9e12 // ms: what is beyond, in the year 2255, overflows a time
 )
 
 // listing is one message of discovery.
@@ -58,6 +59,9 @@
 		if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.State != "removed" {
 			return fmt.Errorf("rev %d: target %s: %w", l.Rev, t.UID, err)
 		}
+		if t.BootMS < 0 || t.BootMS > bootMost {
+			return fmt.Errorf("rev %d: target %s: boot_ms: %g is no time", l.Rev, t.UID, t.BootMS)
+		}
 	}
 	return nil
 }
@@ -100,9 +104,10 @@
 	leave context.CancelFunc // ends the stay at the present address
 }
 
-func newWatcher(addr string, known listing, group int, tell func(listing)) *watcher {
+func newWatcher(addr string, known listing, group int, seed uint64, tell func(listing)) *watcher {
+	rng := rand.New(rand.NewPCG(seed, watchStream))
 	w := &watcher{url: watchURL(addr), at: addr, rev: known.Rev, silence: watchSilence, tell: tell, leave: func() {}, group: group,
-		jitter: func(most time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(most) + 1)) },
+		jitter: func(most time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(most) + 1)) },
 		pause: func(ctx context.Context, d time.Duration) {
 			t := time.NewTimer(d)
 			defer t.Stop()
@@ -122,6 +127,9 @@
 
 const noRev = -1
 
+// watchStream sets the watch's random numbers apart from the module's, which come of the same seed.
+const watchStream = 0x7761746368
+
 // turns is how long discovery may take for one call of each node of the group.
 func (w *watcher) turns() time.Duration {
 	if w.group < herdLeast {
@@ -239,6 +247,10 @@
 	if err := l.check(); err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
+	if l.All && l.Targets == nil {
+		// Guards against a whole list whose servers were lost on the way: none would be left to send to.
+		return fmt.Errorf("discovery: rev %d: a whole list names no targets", l.Rev)
+	}
 	if !l.All && l.Rev < w.rev {
 		// Guards against a discovery that began to count anew: its changes don't fit our list.
 		w.rev = noRev
