Give each node as many warm homes again: by hash some had two, others twelve

Ruled out: hasty tries, of which calm has none, and the work for a request, which fell. At fault: home took the hash for warm servers too; ids given in turn spread evenly by the golden section, hashes do not. The hash stays for cold servers, where as many nodes have to come to each.

--- a/control/control.go
+++ b/control/control.go
@@ -753,9 +753,9 @@
 // every server, and know next to nothing of any. One that is slow or full still costs more than
 // others elsewhere.
 func (c *Controller) home(s *server) bool {
-	key := s.Key
-	if key == 0 {
-		key = s.Server
+	key := s.Server // given in turn, so that each gateway has as many homes
+	if s.coldRamp && s.Key != 0 {
+		key = s.Key // the same everywhere, so that as many gateways come to each cold server
 	}
 	_, turn := math.Modf(float64(c.set.SelfIndex)/float64(c.set.GroupSize) + float64(key)*golden)
 	return turn < c.homes(s)
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -537,3 +537,25 @@
 		t.Errorf("%d of 100 servers are home to some", len(homes))
 	}
 }
+
+// However the keys of the servers lie, each gateway has as many warm ones that it turns to first: who
+// had two of them would jam these, and who had twelve would know little of any.
+func TestEachGatewayHasAsManyHomes(t *testing.T) {
+	var warm []Member
+	for id := uint32(1); id <= 168; id++ {
+		warm = append(warm, Member{Server: id, Key: id*id*2654435761 + id<<7, Zone: "z1", Size: 1})
+	}
+	for i := 0; i < 300; i += 11 {
+		s := fleet(300)
+		s.SelfIndex = i
+		n := 0
+		for _, x := range newGate(t, s, warm...).c.order {
+			if x.home {
+				n++
+			}
+		}
+		if n < homeServers-2 || n > homeServers+2 {
+			t.Errorf("gateway %d turns to %d servers first, not to %.0f", i, n, homeServers)
+		}
+	}
+}
