--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -6,20 +6,20 @@
 	"time"
 )
 
-// BenchmarkRequestAmongManyServers is what a request and its answer cost a gateway of a full fleet.
-func BenchmarkRequestAmongManyServers(b *testing.B) {
+// requests gives a function that asks a gateway of a full fleet and answers it.
+func requests(t testing.TB, servers uint32) (one func()) {
 	var ids []uint32
-	for id := uint32(1); id <= 200; id++ {
+	for id := uint32(1); id <= servers; id++ {
 		ids = append(ids, id)
 	}
 	c, err := New(fleet(300), 1)
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
-	now := time.Hour
+	now, i := time.Hour, 0
 	c.Handle(now, List{Kind: Stale, Members: on(ids...)})
-	for i := 0; b.Loop(); i++ {
-		now += 80 * ms
+	return func() {
+		now, i = now+80*ms, i+1
 		id := fmt.Sprint(i)
 		for _, a := range c.Handle(now, Request{ID: id, Class: "job", Plan: "low", Customer: fmt.Sprint(i % 2000),
 			TTL: 5 * time.Second, Units: 2, Spread: 200}) {
@@ -30,3 +30,26 @@
 		}
 	}
 }
+
+// What a request and its answer cost a gateway of a full fleet among 200 servers.
+func BenchmarkRequestAmongManyServers(b *testing.B) {
+	one := requests(b, 200)
+	for b.Loop() {
+		one()
+	}
+}
+
+// A request is decided on without an allocation for each server or customer: a node has a sixth of
+// a core, and what it allocates it also collects.
+func TestRequestAllocatesTheSameAmongManyServers(t *testing.T) {
+	cost := func(servers uint32) float64 {
+		one := requests(t, servers)
+		for range 4000 { // until each customer and server is known
+			one()
+		}
+		return testing.AllocsPerRun(2000, one)
+	}
+	if few, many := cost(60), cost(200); many > few+1 || many > 30 {
+		t.Errorf("%.0f allocations a request among 60 servers, %.0f among 200", few, many)
+	}
+}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -136,6 +136,8 @@
 	for group, want := range map[int]struct{ first, least, most time.Duration }{
 		3:  {0, backoffFirst / 4, backoffMost},
 		36: {36 * herdTurn, 36 * herdTurn / 8, 2 * 36 * herdTurn},
+		// Half a second at least, so 600 calls a second of all at most while discovery has no room.
+		300: {herdMost, herdMost / 8, 2 * herdMost},
 	} {
 		w := newWatcher(full.Listener.Addr().String(), listing{Rev: 3}, group, 1, func(listing) {})
 		ctx, cancel := context.WithCancel(context.Background())
