--- a/control/control.go
+++ b/control/control.go
@@ -7,6 +7,8 @@
 package control
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"time"
 
@@ -373,6 +375,9 @@
 // meter reads the told use of a customer, once for each period. The chance d'
 // is what was in force while that period was metered, whoever decided it then.
 func (c *Controller) meter(q *customer, told int, units float64) {
+	if told <= 0 || c.set.MeterPeriod == 0 {
+		return
+	}
 	c.refill(q)
 	pct := float64(told - 1)
 	used := pct / 100 * q.plan.Rate * c.set.MeterPeriod.Seconds()
@@ -463,23 +468,16 @@
 // there are many it forgets sooner, and all that are idle. A ceiling's store that was not full
 // is safe then: all stores unseen fill from now.
 func (c *Controller) sweep() {
-	for k, q := range c.custs {
-		if c.now-q.at > custKeep && q.open == 0 && q.queued == 0 && c.full(q) {
-			delete(c.custs, k)
-		}
-	}
 	keep, most := custKeep, custMost/2
+	idle := func(_ string, q *customer) bool { return c.now-q.at > keep && q.open == 0 && q.queued == 0 }
+	maps.DeleteFunc(c.custs, func(k string, q *customer) bool { return idle(k, q) && c.full(q) })
 	if c.set.Customers > 0 {
 		most = min(most, c.set.Customers)
 	}
 	for len(c.custs) > most && keep > interval {
 		keep /= 2
 		c.start = max(c.start, c.now-keep)
-		for k, q := range c.custs {
-			if c.now-q.at > keep && q.open == 0 && q.queued == 0 {
-				delete(c.custs, k)
-			}
-		}
+		maps.DeleteFunc(c.custs, idle)
 	}
 }
 
@@ -722,15 +720,12 @@
 func (c *Controller) cost(s *server) float64 {
 	base := c.latency
 	if s.coldRamp { // it holds less and is no slower for that; its queue is new
-		if base = c.coldLatency; base == 0 {
-			base = math.Min(c.idle, c.latency)
-		}
+		base = cmp.Or(c.coldLatency, math.Min(c.idle, c.latency))
 	}
 	base = math.Max(base, 1e-3)
 	lat := base
 	if s.latency > 0 {
-		age := (c.now - s.latencyAt).Seconds()
-		lat = base + (s.latency-base)*math.Exp(-age/c.recall())
+		lat = base + (s.latency-base)*math.Exp(-(c.now-s.latencyAt).Seconds()/c.recall())
 	}
 	if s.working() > 0 { // a server that is silent is at least as slow as its silence
 		lat = math.Max(lat, (c.now - s.heard).Seconds())
@@ -846,10 +841,7 @@
 	if s.tokensAt = c.now; c.herd() {
 		// Each may go into debt for a request, as small ones would else keep the store too low for
 		// others. Who has not come for longer comes by chance, so that not all do at one moment.
-		full, answers := rate*c.set.Fall.Seconds()/2, c.answerRate
-		if answers == 0 {
-			answers = rateFirst
-		}
+		full, answers := rate*c.set.Fall.Seconds()/2, cmp.Or(c.answerRate, rateFirst)
 		s.tokens = math.Min(s.tokens, full)
 		return s.tokens >= 0 && (s.tokens < full || c.rng.Float64()*c.unitsMean*answers < coldSurge*rate)
 	}
@@ -884,9 +876,7 @@
 	c.streams++
 	a.srv.streams++
 	a.srv.heard = c.now
-	if e.Used > 0 && c.set.MeterPeriod > 0 {
-		c.meter(a.cust, e.Used, a.req.units)
-	}
+	c.meter(a.cust, e.Used, a.req.units)
 	c.settleUnits(a, e.Cost)
 	c.answered(a, e.Delay)
 }
@@ -912,14 +902,10 @@
 	if pause := 1/math.Max(a.cust.openCap, tiny) - 1; a.cust.plan.Open > 0 && pause > 0 {
 		a.cust.openNext = c.now + time.Duration(pause*float64(c.now-a.sent))
 	}
-	if e.Used > 0 && c.set.MeterPeriod > 0 {
-		c.meter(a.cust, e.Used, r.units)
-	}
+	c.meter(a.cust, e.Used, r.units)
 	c.judge(a, e)
-	if c.reqs[r.id] != r {
-		return
-	}
 	switch {
+	case c.reqs[r.id] != r: // it was ended before
 	case e.Done:
 		c.forget(r)
 	case !r.queued && r.out == 0:
@@ -976,13 +962,18 @@
 }
 
 func (c *Controller) sawLatency(s *server, t float64) {
-	if s.latency == 0 {
-		s.latency = t
-	}
-	s.latency += latencyGain * (t - s.latency)
+	ease(&s.latency, t, latencyGain)
 	s.latencyAt = c.now
 }
 
+// ease moves an estimate by a part of what it lacks of the value seen; the first is taken whole.
+func ease(estimate *float64, seen, gain float64) {
+	if *estimate == 0 {
+		*estimate = seen
+	}
+	*estimate += gain * (seen - *estimate)
+}
+
 // answered takes the latency of a good answer.
 func (c *Controller) answered(a *attempt, took time.Duration) {
 	t := took.Seconds()
@@ -1092,28 +1083,21 @@
 		c.bound *= boundUp
 	}
 	c.bound = math.Max(c.bound, c.floor())
-	for _, p := range c.plans {
+	ys, us := make([]float64, len(c.plans)), make([]float64, len(c.plans))
+	for i, p := range c.plans {
 		if p.lateN > 0 {
 			p.y = p.lateSum / p.lateN
 		}
 		p.lateSum, p.lateN = 0, 0
+		ys[i], us[i] = p.y, p.share
 	}
 	if c.answers >= leastAnswers {
-		y, u := make([]float64, len(c.plans)), make([]float64, len(c.plans))
-		for i, p := range c.plans {
-			y[i], u[i] = p.y, p.share
-		}
-		u = c.law.step(u, y, !c.cut)
-		for i, p := range c.plans {
-			p.share = u[i]
+		for i, u := range c.law.step(us, ys, !c.cut) {
+			c.plans[i].share = u
 		}
 	}
 	c.servedRate += latencyGain * (c.served/lasted - c.servedRate)
-	if rate := (c.answers + c.bad) / lasted; c.answerRate == 0 {
-		c.answerRate = rate
-	} else {
-		c.answerRate += latencyGain * (rate - c.answerRate)
-	}
+	ease(&c.answerRate, (c.answers+c.bad)/lasted, latencyGain)
 	c.span = span{}
 	c.sweep()
 }
