--- /dev/null
+++ b/cmd/fleetlab/main.go
@@ -0,0 +1,255 @@
+// Command fleetlab plays scenarios against real processes of the edge node and says what came of
+// them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"martennotch/internal/lab"
+	"martennotch/internal/lab/judge"
+	"martennotch/internal/lab/proc"
+	"martennotch/internal/lab/report"
+	"martennotch/internal/lab/scenario"
+)
+
+// Exit codes: a play may pass, fail, or not be possible.
+const (
+	exitFailed = 1
+	exitUnable = 2
+)
+
+// errFailed is a play that was possible and did not pass.
+var errFailed = errors.New("failed")
+
+type cli struct {
+	Run     runCmd     `cmd:"" help:"Play one seed of a scenario and judge it."`
+	Compare compareCmd `cmd:"" help:"Play two sides in turn on the same seeds."`
+	List    listCmd    `cmd:"" help:"List the scenarios."`
+}
+
+type common struct {
+	Root    string `help:"Folder of the program's deploy file." default:"." type:"existingdir"`
+	NoBuild bool   `help:"Play what was built before."`
+	Logs    string `help:"Keep the processes' logs in this folder." type:"path"`
+	Again   int    `help:"Play a day again, so often at most, in which the tool itself was late." default:"2"`
+	Report  string `help:"Write report.md and plots into this folder." type:"path"`
+}
+
+type runCmd struct {
+	common
+	File string   `arg:"" help:"The scenario."`
+	Seed uint64   `help:"Draws the deployment and its day." default:"1"`
+	Set  []string `help:"Set a key of the scenario, as fleet.nodes=6." placeholder:"KEY=VALUE"`
+	JSON string   `help:"Write every figure to this file." type:"path"`
+}
+
+type compareCmd struct {
+	common
+	File           string   `arg:"" help:"The scenario."`
+	Plays          int      `help:"Plays of each side on each seed." default:"1"`
+	Seeds          string   `help:"Seeds, as 1..5." default:"1..3"`
+	With           []string `help:"Set a key on the one side." placeholder:"KEY=VALUE"`
+	Against        []string `help:"Set a key on the other side." placeholder:"KEY=VALUE"`
+	AgainstProgram string   `help:"Another checkout whose program is the other side." type:"existingdir"`
+}
+
+type listCmd struct {
+	Dir string `arg:"" optional:"" help:"Folder of the scenarios." default:"scenarios"`
+}
+
+func main() {
+	proc.ReapIfAsked()
+	var c cli
+	parser := kong.Must(&c, kong.Name("fleetlab"), kong.Description("Plays fleets of edge nodes through failures."), kong.UsageOnError())
+	k, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleetlab:", err)
+		os.Exit(exitUnable)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	switch err := k.Run(); {
+	case errors.Is(err, errFailed):
+		os.Exit(exitFailed)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "fleetlab:", err)
+		os.Exit(exitUnable)
+	}
+}
+
+// deploy reads a checkout's deploy file and builds it, unless that is not wanted.
+func (c *common) deploy(ctx context.Context, root string) (*lab.Deploy, error) {
+	root, err := filepath.Abs(root)
+	if err != nil {
+		return nil, err
+	}
+	d, err := lab.ReadDeploy(root)
+	if err != nil {
+		return nil, err
+	}
+	if c.Logs != "" {
+		if err := os.MkdirAll(c.Logs, 0o755); err != nil {
+			return nil, err
+		}
+	}
+	if !c.NoBuild {
+		say("building")
+		return d, d.Make(ctx)
+	}
+	return d, nil
+}
+
+// play plays one seed, telling on standard error how long it still takes.
+func (c *common) play(ctx context.Context, f *scenario.File, seed uint64, d *lab.Deploy) (report.Play, error) {
+	day, err := f.Draw(seed)
+	if err != nil {
+		return report.Play{}, err
+	}
+	for again := 0; ; again++ {
+		end := time.Now().Add(day.Length)
+		v, err := lab.Play(ctx, day, lab.Options{Deploy: d, Logs: c.Logs, Progress: func(what string) {
+			say(fmt.Sprintf("%s, seed %d: %s, about %v left", f.Name, seed, what, time.Until(end).Round(time.Second)))
+		}})
+		if err != nil || v.Void == "" || again >= c.Again {
+			return report.Play{Day: day, Verdict: v}, err
+		}
+		fmt.Printf("%s, seed %d is played again: %s\n", f.Name, seed, v.Void)
+	}
+}
+
+// say tells progress to a person, and to nobody else.
+func say(what string) {
+	if s, err := os.Stderr.Stat(); err == nil && s.Mode()&os.ModeCharDevice != 0 {
+		fmt.Fprintf(os.Stderr, "\r\x1b[K%s", what)
+	}
+}
+
+func (r *runCmd) Run(ctx context.Context) error {
+	f, err := scenario.Read(r.File, r.Set...)
+	if err != nil {
+		return err
+	}
+	d, err := r.deploy(ctx, r.Root)
+	if err != nil {
+		return err
+	}
+	p, err := r.play(ctx, f, r.Seed, d)
+	if err != nil {
+		return err
+	}
+	say("")
+	report.Table(os.Stdout, p.Day, p.Verdict)
+	if r.JSON != "" {
+		if err := report.JSON(r.JSON, p.Day, p.Verdict); err != nil {
+			return err
+		}
+	}
+	if r.Report != "" {
+		if err := report.Write(r.Report, []report.Play{p}); err != nil {
+			return err
+		}
+	}
+	last, passed := report.Last(p.Day, p.Verdict)
+	fmt.Println(last)
+	if !passed {
+		return errFailed
+	}
+	return nil
+}
+
+// Run plays both sides in turn on each seed, so that a change of the machine's speed meets both.
+func (r *compareCmd) Run(ctx context.Context) error {
+	from, to, err := span(r.Seeds)
+	if err != nil {
+		return err
+	}
+	files, programs := [2]*scenario.File{}, [2]*lab.Deploy{}
+	for i, set := range [][]string{r.With, r.Against} {
+		if files[i], err = scenario.Read(r.File, set...); err != nil {
+			return err
+		}
+	}
+	if programs[0], err = r.deploy(ctx, r.Root); err != nil {
+		return err
+	}
+	if programs[1] = programs[0]; r.AgainstProgram != "" {
+		if programs[1], err = r.deploy(ctx, r.AgainstProgram); err != nil {
+			return err
+		}
+	}
+	var sides [2][]judge.Figures
+	var plays []report.Play
+	for seed := from; seed <= to; seed++ {
+		for range r.Plays {
+			for side := range sides {
+				p, err := r.play(ctx, files[side], seed, programs[side])
+				if ctx.Err() != nil && len(sides[1]) > 0 { // what was measured is kept
+					return r.done(plays, sides)
+				}
+				if err != nil {
+					return err
+				}
+				last, _ := report.Last(p.Day, p.Verdict)
+				fmt.Printf("%s seed %d: %s\n", [2]string{"with", "against"}[side], seed, last)
+				sides[side] = append(sides[side], p.Verdict.Figures)
+				if side == 0 {
+					plays = append(plays, p)
+				}
+			}
+		}
+	}
+	return r.done(plays, sides)
+}
+
+func (r *compareCmd) done(plays []report.Play, sides [2][]judge.Figures) error {
+	n := len(sides[1])
+	report.Compare(os.Stdout, sides[0][:n], sides[1])
+	if r.Report != "" {
+		return report.Write(r.Report, plays)
+	}
+	return nil
+}
+
+// span reads seeds as A..B.
+func span(s string) (from, to uint64, err error) {
+	a, b, ok := strings.Cut(s, "..")
+	if !ok {
+		b = a
+	}
+	from, err1 := strconv.ParseUint(a, 10, 64)
+	to, err2 := strconv.ParseUint(b, 10, 64)
+	if err := errors.Join(err1, err2); err != nil || to < from {
+		return 0, 0, fmt.Errorf("seeds: %q is not A..B", s)
+	}
+	return from, to, nil
+}
+
+func (l *listCmd) Run() error {
+	paths, err := filepath.Glob(filepath.Join(l.Dir, "*.toml"))
+	if err != nil {
+		return err
+	}
+	if len(paths) == 0 {
+		return fmt.Errorf("no scenario in %s", l.Dir)
+	}
+	for _, p := range paths {
+		f, err := scenario.Read(p)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-16s %4.0f s  %s\n", f.Name, f.Seconds, f.About)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/client/client.go
@@ -0,0 +1,234 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"martennotch/internal/lab/ledger"
+	"martennotch/internal/lab/origin"
+	"martennotch/internal/lab/record"
+	"martennotch/internal/lab/scenario"
+)
+
+const (
+	lateHeard = 500 * time.Millisecond // beyond its time within which an answer earns nothing and is not lost
+	slack     = 50 * time.Millisecond  // of every limit on sockets
+	leastLeft = 50 * time.Millisecond  // with less a client does not try again
+	slowRead  = 500 * time.Millisecond // that a slow reader lets an answer wait
+	hastyPart = 0.2                    // of the usual time, that a hasty client waits
+	roomPart  = 0.5                    // of a store unused, from which a refusal counts as one with room
+)
+
+// Clients sends the day's arrivals and lives through what becomes of each.
+type Clients struct {
+	Day    *scenario.Day
+	Book   *record.Book
+	Ledger *ledger.Ledger
+	Nodes  []*Node
+	Clock  func() time.Duration
+	Killed func(node int, from, to time.Duration) bool // whether it was killed meanwhile
+	out    sync.WaitGroup
+}
+
+// Run sends each arrival at its time, whatever has become of those before, and returns when all
+// have ended or ctx has.
+func (c *Clients) Run(ctx context.Context) {
+	for i := range c.Day.Arrivals {
+		a := &c.Day.Arrivals[i]
+		if wait := a.At - c.Clock(); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+				c.out.Wait()
+				return
+			}
+		}
+		late := c.Clock() - a.At
+		c.Book.With(func() { c.Book.Late = append(c.Book.Late, late) })
+		c.out.Go(func() { c.request(ctx, i) })
+	}
+	c.out.Wait()
+}
+
+// request is one request with all its tries.
+func (c *Clients) request(ctx context.Context, i int) {
+	a := &c.Day.Arrivals[i]
+	class := &c.Day.Classes[a.Class]
+	rng := rand.New(rand.NewPCG(a.Seed, 0))
+	deadline := ms(class.DeadlineMS)
+	share := c.Day.Clients.TryShare
+	hasty, slow := rng.Float64() < c.Day.File.Clients.Hasty, rng.Float64() < c.Day.File.Clients.SlowReaders
+	if hasty {
+		share *= hastyPart
+	}
+	tries := 1 + int(c.Day.Clients.Retries) + btoi(rng.Float64() < c.Day.Clients.Retries-math.Floor(c.Day.Clients.Retries))
+	due, back := a.At, c.Day.Clients.Backoff
+	place := rng.Float64()
+	for n := range tries {
+		left := min(time.Duration(share*float64(deadline)), deadline-(due-a.At))
+		if left < leastLeft || ctx.Err() != nil {
+			return
+		}
+		t := &record.Try{ID: fmt.Sprintf("%016x", rng.Uint64()), Arrival: i, N: n, Customer: a.Customer, Class: a.Class,
+			Units: a.Units, True: a.True, Due: due, Left: left}
+		t.Node = c.Day.Pick(a.Customer, max(0, due), place, func(n int) bool { return c.Nodes[n].Up() })
+		c.Book.Begin(t)
+		if t.Node < 0 {
+			c.ended(t, record.Unsent, 0)
+		} else {
+			c.try(ctx, t, hasty, slow)
+		}
+		if t.End == record.Answered && t.Status == http.StatusOK || t.End == record.Left {
+			return
+		}
+		wait := time.Duration(float64(back) * (0.75 + rng.Float64()/2))
+		if t.Advice && rng.Float64() < c.Day.Clients.Honour {
+			wait = min(ms(c.Day.File.Clients.MaxRetryAfter), time.Second)
+		}
+		if back *= 2; rng.Float64() < c.Day.Clients.Elsewhere {
+			place = rng.Float64()
+		}
+		due = c.Clock() + wait
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// try sends one try. A request that crosses the close of a connection used before, and that the
+// node has not read, goes once more on a new one.
+func (c *Clients) try(ctx context.Context, t *record.Try, hasty, slow bool) {
+	n := c.Nodes[t.Node]
+	for fresh := false; ; fresh = true {
+		cn, err := n.get(ctx, fresh)
+		if err != nil {
+			c.ended(t, record.Unsent, 0)
+			return
+		}
+		if c.exchange(t, n, cn, hasty, slow) || !cn.reused || c.read(t) || c.Killed(t.Node, t.Sent, c.Clock()) {
+			return
+		}
+	}
+}
+
+// read tells whether the node has read a try: it has sent it on.
+func (c *Clients) read(t *record.Try) (yes bool) {
+	c.Book.With(func() { yes = len(t.Attempts) > 0 })
+	return yes
+}
+
+// exchange writes a try on a connection and reads its answer; it gives false where the connection
+// ended with no byte of an answer.
+func (c *Clients) exchange(t *record.Try, n *Node, cn *conn, hasty, slow bool) bool {
+	t.Fresh = !cn.reused
+	if _, err := cn.Write(c.message(t)); err != nil {
+		cn.Close()
+		c.ended(t, record.Unsent, 0)
+		return false
+	}
+	c.Book.With(func() { t.Sent = c.Clock() })
+	limit := t.Left + lateHeard + slack
+	if hasty {
+		limit = t.Left
+	}
+	var over sync.Once
+	unheard := record.Open
+	timer := time.AfterFunc(limit, func() {
+		over.Do(func() {
+			if unheard = record.Unheard; hasty {
+				unheard = record.Left
+			}
+			cn.Close()
+		})
+	})
+	defer timer.Stop()
+	if slow {
+		time.Sleep(slowRead)
+	}
+	if _, err := cn.in.Peek(1); err != nil {
+		over.Do(func() {})
+		cn.Close()
+		if unheard != record.Open {
+			c.ended(t, unheard, 0)
+			return true
+		}
+		c.ended(t, record.Broken, 0)
+		return false
+	}
+	resp, err := http.ReadResponse(cn.in, nil)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+	}
+	over.Do(func() {})
+	if err != nil {
+		cn.Close()
+		end := record.Broken
+		if unheard != record.Open {
+			end = unheard
+		}
+		c.ended(t, end, 0)
+		return true
+	}
+	c.answered(t, resp, body)
+	if resp.Close {
+		cn.Close()
+	} else {
+		n.put(cn)
+	}
+	return true
+}
+
+func (c *Clients) message(t *record.Try) []byte {
+	class, cust := &c.Day.Classes[t.Class], &c.Day.Customers[t.Customer]
+	body, method, key := origin.Body(class.Effect, t.ID), "POST", ""
+	if class.Effect == "free" {
+		method = "GET"
+	} else {
+		key = "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	if class.Effect == "guarded" {
+		key += "Idempotency-Key: " + t.ID + t.ID + "\r\n"
+	}
+	return fmt.Appendf(nil, "%s /%s?account=%016x HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: %s\r\nX-Tariff: %s\r\n"+
+		"X-Time-Left: %dm\r\n%sX-Weight: units=%d,spread=%d,first=%d\r\n\r\n%s", method, class.Name, cust.ID, t.ID,
+		c.Day.Plans[cust.Plan].Name, t.Left.Milliseconds(), key, t.Units, cust.Spread, cust.First, body)
+}
+
+func (c *Clients) answered(t *record.Try, resp *http.Response, body []byte) {
+	refused := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	room := refused && c.Ledger.Room(t.Customer, c.Clock()) >= roomPart
+	genuine := false
+	c.Book.With(func() {
+		for _, a := range t.Attempts {
+			genuine = genuine || string(body) == origin.Answer(t.ID, a.Server)
+		}
+		t.Genuine, t.Room = genuine, room
+		t.Advice = refused && resp.Header.Get("Retry-After") != ""
+	})
+	c.ended(t, record.Answered, resp.StatusCode)
+}
+
+func (c *Clients) ended(t *record.Try, e record.End, status int) {
+	now := c.Clock()
+	killed := t.Node >= 0 && c.Killed(t.Node, t.Due, now)
+	c.Book.With(func() { t.End, t.Status, t.Ended, t.NodeKilled = e, status, now, killed })
+}
--- /dev/null
+++ b/internal/lab/discovery/discovery.go
@@ -0,0 +1,260 @@
+// Package discovery is the platform's list of rating servers as the nodes are told it: an agent on
+// each node's machine, late by the node's lateness, that can fall silent, send what is no list, or
+// move.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"martennotch/internal/lab/link"
+)
+
+// Target is one entry of a list.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	AZ       string  `json:"az"`
+	Model    string  `json:"model"`
+	PodGroup int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+// Listing is a list or a change of one.
+type Listing struct {
+	Rev     int      `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+const (
+	beat      = 2 * time.Second         // between empty lines while nothing changes
+	movedOpen = 1500 * time.Millisecond // that the old address keeps its connections
+)
+
+// spoilt is what an agent sends in place of a list while it is spoilt.
+var spoilt = []string{
+	"{\"rev\":", "[]\n", "{\"rev\":1,\"all\":true,\"targets\":[]}\n", "null\n", "\x00\xff\xfe\n",
+	"{\"rev\":-4,\"all\":false,\"targets\":[{\"uid\":\"\",\"endpoint\":\"nowhere\",\"state\":\"up\"}]}\n",
+	"{\"rev\":9,\"all\":true,\"targets\":[{\"uid\":\"s-0\",\"endpoint\":\"127.0.0.1:99999\",\"state\":\"up\",\"boot_ms\":1e30}]}\n",
+}
+
+// entry is a target with the version at which it changed last, and what it is told by.
+type entry struct {
+	Target
+	rev    int
+	server int
+}
+
+// Agent tells one node. It is safe for concurrent use.
+type Agent struct {
+	node    int
+	told    func(server int, state string)
+	mu      sync.Mutex
+	rev     int
+	entries map[string]*entry
+	order   []string
+	changed chan struct{}
+	dark    bool
+	bad     bool
+	badNext int
+	http    *http.Server
+}
+
+// NewAgent makes an agent; told hears of each change when it has been written to the node.
+func NewAgent(node int, told func(server int, state string)) *Agent {
+	return &Agent{node: node, told: told, entries: make(map[string]*entry), changed: make(chan struct{})}
+}
+
+// Serve answers at an address across a path, in place of where it answered before: the old address
+// takes no new connections and closes its open ones a little later.
+func (a *Agent) Serve(p *link.Path, address string) error {
+	l, err := p.Listen(address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/servers", a.list)
+	h := &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
+	// Lines that wait for a silent path end with the server.
+	ctx, cancel := context.WithCancel(context.Background())
+	h.BaseContext = func(net.Listener) context.Context { return ctx }
+	h.RegisterOnShutdown(cancel)
+	a.mu.Lock()
+	old := a.http
+	a.http = h
+	a.mu.Unlock()
+	go h.Serve(l)
+	if old != nil {
+		retire(old)
+	}
+	return nil
+}
+
+func retire(h *http.Server) {
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	h.SetKeepAlivesEnabled(false)
+	time.AfterFunc(movedOpen, func() { h.Shutdown(gone); h.Close() })
+}
+
+// Close ends the agent.
+func (a *Agent) Close() {
+	a.mu.Lock()
+	h := a.http
+	a.mu.Unlock()
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	h.Shutdown(gone)
+	h.Close()
+}
+
+// Put enters a change. A target that is removed stays as such, so that a watch tells it.
+func (a *Agent) Put(server int, t Target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.rev++
+	if a.entries[t.UID] == nil {
+		a.order = append(a.order, t.UID)
+	}
+	a.entries[t.UID] = &entry{t, a.rev, server}
+	a.wake()
+}
+
+// Dark silences the agent or lets it speak again; Spoil makes it send what is no list.
+func (a *Agent) Dark(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dark = on
+	a.wake()
+}
+
+// Spoil makes the agent send what is no list, or ends that.
+func (a *Agent) Spoil(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bad = on
+	a.wake()
+}
+
+func (a *Agent) wake() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Whole gives the list as it stands.
+func (a *Agent) Whole() Listing {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l, _ := a.since(0)
+	return l
+}
+
+// since gives what changed after a version, and the servers and states that it tells of. The caller
+// holds mu.
+func (a *Agent) since(rev int) (Listing, []entry) {
+	l := Listing{Rev: a.rev, All: rev <= 0 || rev > a.rev, Targets: []Target{}}
+	var told []entry
+	for _, uid := range a.order {
+		e := a.entries[uid]
+		if !l.All && e.rev <= rev || l.All && e.State == "removed" {
+			continue
+		}
+		l.Targets = append(l.Targets, e.Target)
+		told = append(told, *e)
+	}
+	return l, told
+}
+
+func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	if r.URL.Query().Get("watch") != "1" {
+		a.send(w, r, 0)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	for first := true; ; first = false {
+		a.mu.Lock()
+		rev, changed, news := a.rev, a.changed, first || a.rev > from || a.bad
+		a.mu.Unlock()
+		if news {
+			if from = a.send(w, r, from); from < 0 {
+				return
+			}
+			from = max(from, rev)
+		}
+		select {
+		case <-changed:
+		case <-time.After(beat):
+			if a.light(r) && !a.write(w, []byte("\n")) {
+				return
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// light waits until the agent may speak; it gives false when the caller has gone.
+func (a *Agent) light(r *http.Request) bool {
+	for {
+		a.mu.Lock()
+		dark, changed := a.dark, a.changed
+		a.mu.Unlock()
+		if !dark {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+}
+
+// send writes what changed after a version; it gives the version told, or -1 where that failed.
+func (a *Agent) send(w http.ResponseWriter, r *http.Request, from int) int {
+	if !a.light(r) {
+		return -1
+	}
+	a.mu.Lock()
+	l, told := a.since(from)
+	bad := ""
+	if a.bad {
+		bad = spoilt[a.badNext%len(spoilt)]
+		a.badNext++
+	}
+	a.mu.Unlock()
+	if bad != "" {
+		a.write(w, []byte(bad))
+		return -1
+	}
+	raw, err := json.Marshal(l)
+	if err != nil || !a.write(w, append(raw, '\n')) {
+		return -1
+	}
+	for _, e := range told {
+		a.told(e.server, e.State)
+	}
+	return l.Rev
+}
+
+func (a *Agent) write(w http.ResponseWriter, b []byte) bool {
+	if _, err := w.Write(b); err != nil {
+		return false
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
+
+// String names the agent in errors.
+func (a *Agent) String() string { return fmt.Sprintf("discovery of node %d", a.node) }
--- /dev/null
+++ b/internal/lab/fake_test.go
@@ -0,0 +1,190 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"martennotch/internal/lab/discovery"
+	"martennotch/internal/lab/proc"
+)
+
+// A fake is a node that breaks one rule on purpose. It is this test's own program, started as a
+// node is.
+const fakeVariable = "LAB_FAKE"
+
+func TestMain(m *testing.M) {
+	proc.ReapIfAsked()
+	if how := os.Getenv(fakeVariable); how != "" {
+		runFake(how)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+type fake struct {
+	how      string
+	mu       sync.Mutex
+	servers  []discovery.Target
+	n        atomic.Int64
+	upstream http.Client
+}
+
+func runFake(how string) {
+	raw, err := os.ReadFile(os.Getenv("NODE_CONFIG"))
+	if err != nil {
+		panic(err)
+	}
+	var cfg struct {
+		Listen, Discovery string
+		Known             discovery.Listing
+	}
+	if err := json.Unmarshal(raw, &cfg); err != nil {
+		panic(err)
+	}
+	f := &fake{how: how, servers: cfg.Known.Targets}
+	f.upstream.Transport = &http.Transport{MaxIdleConnsPerHost: 64}
+	go f.follow(cfg.Discovery)
+	if how == "crash" {
+		time.AfterFunc(time.Second, func() { os.Exit(3) })
+	}
+	var ballast [][]byte
+	if how == "memory" {
+		time.AfterFunc(time.Second, func() { ballast = append(ballast, bytes.Repeat([]byte{1}, 200<<20)) })
+	}
+	h := &http.Server{Addr: cfg.Listen, Handler: f}
+	if how != "improper" {
+		h.ReadHeaderTimeout = 2 * time.Second
+	}
+	panic(h.ListenAndServe())
+}
+
+// follow keeps the servers that are up; one that is told to drain stays for the fake that ignores
+// drains.
+func (f *fake) follow(address string) {
+	for {
+		time.Sleep(100 * time.Millisecond)
+		resp, err := http.Get("http://" + address + "/v1/servers")
+		if err != nil {
+			continue
+		}
+		var l discovery.Listing
+		err = json.NewDecoder(resp.Body).Decode(&l)
+		resp.Body.Close()
+		if err != nil || f.how == "drain" {
+			continue
+		}
+		var up []discovery.Target
+		newest := int64(0)
+		for _, t := range l.Targets {
+			newest = max(newest, t.BootMS)
+		}
+		for _, t := range l.Targets {
+			if f.how == "cold" && newest > 0 {
+				if t.BootMS == newest {
+					up = append(up, t)
+				}
+			} else if t.State == "up" && t.BootMS == 0 { // the honest one leaves cold servers alone
+				up = append(up, t)
+			}
+		}
+		f.mu.Lock()
+		f.servers = up
+		f.mu.Unlock()
+	}
+}
+
+func (f *fake) pick() (a, b discovery.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a = f.servers[rand.IntN(len(f.servers))]
+	for _, b = range f.servers {
+		if b.AZ != a.AZ {
+			break
+		}
+	}
+	return a, b
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	post, tenth := r.Method == http.MethodPost, f.n.Add(1)%10 == 0
+	a, b := f.pick()
+	switch {
+	case f.how == "lost" && tenth:
+		time.Sleep(time.Minute)
+	case f.how == "broken" && tenth:
+		f.send(r, a, body)
+		panic(http.ErrAbortHandler)
+	case f.how == "forge" && tenth:
+		io.WriteString(w, "rated 0 by 0\n")
+		return
+	case f.how == "advice" && tenth:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case f.how == "refusal" && post:
+		f.send(r, a, body)
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case f.how == "halls" && post:
+		f.send(r, a, body)
+		a = b
+	case f.how == "window" && post:
+		f.send(r, a, body)
+		time.Sleep(600 * time.Millisecond)
+	case f.how == "stray" && tenth:
+		r.Header.Set("X-Correlation-Id", "0000000000000001")
+	case f.how == "many" && tenth:
+		for range 8 {
+			go f.send(r, a, body)
+		}
+	}
+	status, answer := f.send(r, a, body)
+	if status == 0 || status == http.StatusServiceUnavailable {
+		status = http.StatusBadGateway // failed: promises nothing
+	}
+	w.WriteHeader(status)
+	io.WriteString(w, answer)
+}
+
+func (f *fake) send(r *http.Request, to discovery.Target, body []byte) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+to.Endpoint+r.URL.String(), bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	for _, h := range []string{"X-Correlation-Id", "Idempotency-Key"} {
+		if v := r.Header.Get(h); v != "" {
+			req.Header.Set(h, v)
+		}
+	}
+	// No copy goes by itself: the body can't be had again.
+	req.GetBody = nil
+	resp, err := f.upstream.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(answer)
+}
+
+// lines is how a scenario's key is set from several lines.
+func lines(l ...string) string { return strings.Join(l, "\n") }
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,277 @@
+package lab
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"martennotch/internal/lab/link"
+	"martennotch/internal/lab/scenario"
+)
+
+const (
+	killAfter = 700 * time.Millisecond // after the longest deadline, from SIGTERM to SIGKILL
+	killLeast = 3 * time.Second
+)
+
+// happen plays one event of the timetable to its end.
+func (p *play) happen(ctx context.Context, e scenario.Event) {
+	p.opt.Progress(e.Kind)
+	switch e.Kind {
+	case "kill":
+		p.kill(ctx, e)
+	case "restart":
+		p.restart(ctx, e)
+	case "stop":
+		p.signal(e, syscall.SIGSTOP)
+		p.wait(ctx, e.For)
+		p.signal(e, syscall.SIGCONT)
+	case "slow", "errors", "pause", "shared":
+		p.trouble(ctx, e)
+	case "crash":
+		p.crashServers(ctx, e)
+	case "zone":
+		p.loseZone(ctx, e)
+	case "split", "oneway", "delay", "loss":
+		p.links(ctx, e)
+	case "reset":
+		for _, s := range e.Targets {
+			for _, path := range p.paths[s] {
+				path.Reset()
+			}
+		}
+	case "dark":
+		for _, a := range p.agents {
+			a.Dark(true)
+		}
+		p.wait(ctx, e.For)
+		for _, a := range p.agents {
+			a.Dark(false)
+		}
+	case "spoilt":
+		for _, a := range p.agents {
+			a.Spoil(true)
+		}
+		p.wait(ctx, e.For)
+		for _, a := range p.agents {
+			a.Spoil(false)
+		}
+	case "move":
+		p.move()
+	case "counter":
+		if p.counter != nil {
+			p.counter.Away(ctx, p.counts, e.For)
+		}
+	}
+}
+
+// wait lets a while pass, unless the play ends.
+func (p *play) wait(ctx context.Context, span time.Duration) bool {
+	select {
+	case <-time.After(span):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (p *play) signal(e scenario.Event, s syscall.Signal) {
+	for _, i := range e.Targets {
+		p.mu.Lock()
+		x := p.nodes[i].process
+		p.mu.Unlock()
+		x.Signal(s)
+	}
+}
+
+// kill ends nodes outright, all at once, and starts them anew after a while.
+func (p *play) kill(ctx context.Context, e scenario.Event) {
+	for _, i := range e.Targets {
+		p.gone(p.nodes[i], true).Signal(syscall.SIGKILL)
+	}
+	for _, i := range e.Targets {
+		<-p.nodes[i].process.Done()
+	}
+	if e.For > 0 && p.wait(ctx, e.For) {
+		for _, i := range e.Targets {
+			p.again(ctx, p.nodes[i])
+		}
+	}
+}
+
+// restart ends nodes in the platform's way and starts them anew.
+func (p *play) restart(ctx context.Context, e scenario.Event) {
+	longest := killLeast
+	for _, c := range p.day.Classes {
+		longest = max(longest, time.Duration(c.DeadlineMS*float64(time.Millisecond)))
+	}
+	for _, i := range e.Targets {
+		x := p.gone(p.nodes[i], false)
+		x.Signal(syscall.SIGTERM)
+		select {
+		case <-x.Done():
+		case <-time.After(longest + killAfter):
+			x.Kill()
+		case <-ctx.Done():
+			return
+		}
+		p.again(ctx, p.nodes[i])
+	}
+}
+
+func (p *play) again(ctx context.Context, n *node) {
+	if err := p.start(ctx, n); err != nil && ctx.Err() == nil {
+		p.crash("%s: starting again: %v", n.Name, err)
+	}
+}
+
+// trouble makes servers slow, failing or still for a while.
+func (p *play) trouble(ctx context.Context, e scenario.Event) {
+	targets := e.Targets
+	if e.Kind == "shared" {
+		for i := range p.servers {
+			targets = append(targets, i)
+		}
+	}
+	set := func(on bool) {
+		for _, s := range targets {
+			p.servers[s].Change(func(slow, errors *float64, paused *bool) {
+				switch e.Kind {
+				case "slow", "shared":
+					*slow = 1
+					if on {
+						*slow = e.Size
+					}
+				case "errors":
+					*errors = 0
+					if on {
+						*errors = e.Size
+					}
+				case "pause":
+					*paused = on
+				}
+			})
+		}
+	}
+	set(true)
+	p.wait(ctx, e.For)
+	set(false)
+}
+
+// crashServers ends servers' processes; they come back cold after a while, if one is given.
+func (p *play) crashServers(ctx context.Context, e scenario.Event) {
+	for _, s := range e.Targets {
+		p.servers[s].Crash()
+		p.change(ctx, s, "removed", p.day.Notice.Change)
+	}
+	if e.For > 0 && p.wait(ctx, e.For) {
+		for _, s := range e.Targets {
+			p.revive(ctx, s)
+		}
+	}
+}
+
+func (p *play) revive(ctx context.Context, server int) {
+	if err := p.servers[server].Restart(); err != nil {
+		p.crash("server %d: starting again: %v", server, err)
+		return
+	}
+	p.change(ctx, server, "up", p.day.Notice.Add)
+}
+
+// loseZone lets a zone's servers vanish: nothing is said, connections hang. They come back cold,
+// all at once, and what was open is reset. The counter stands in the first zone.
+func (p *play) loseZone(ctx context.Context, e scenario.Event) {
+	zone := e.Targets[0]
+	var lost []int
+	for s, m := range p.day.Servers {
+		if m.Zone == zone && p.runs(s) {
+			lost = append(lost, s)
+		}
+	}
+	hold := func(on bool) {
+		for _, s := range lost {
+			for _, path := range p.paths[s] {
+				path.Change(func(s *link.State) { s.HoldUp, s.HoldDown = on, on })
+			}
+		}
+	}
+	hold(true)
+	if zone == 0 && p.counter != nil {
+		p.wg.Go(func() { p.counter.Away(ctx, p.counts, p.day.Counter.Back) })
+	}
+	for _, s := range lost {
+		p.change(ctx, s, "removed", p.day.Notice.Change)
+	}
+	back := p.wait(ctx, e.For)
+	for _, s := range lost {
+		p.servers[s].Crash()
+	}
+	hold(false)
+	if back {
+		for _, s := range lost {
+			p.revive(ctx, s)
+		}
+	}
+}
+
+// runs tells whether a server is there now, as the day has it.
+func (p *play) runs(server int) bool {
+	m, now := p.day.Servers[server], p.clock()
+	return m.From <= now && (m.Gone == 0 || now < m.Gone)
+}
+
+// links changes what lies between a zone and the others for a while.
+func (p *play) links(ctx context.Context, e scenario.Event) {
+	zone := e.Targets[0]
+	change := func(on bool) {
+		for s, paths := range p.paths {
+			for n, path := range paths {
+				a, b := p.day.Nodes[n].Zone, p.day.Servers[s].Zone
+				if (a == zone) == (b == zone) {
+					continue
+				}
+				path.Change(func(st *link.State) { p.spoil(st, e, on, p.delay(a, b)) })
+			}
+		}
+	}
+	change(true)
+	p.wait(ctx, e.For)
+	change(false)
+}
+
+func (p *play) spoil(s *link.State, e scenario.Event, on bool, usual time.Duration) {
+	switch e.Kind {
+	case "split":
+		s.HoldUp, s.HoldDown = on, on
+	case "oneway":
+		s.HoldDown = on
+	case "delay":
+		if s.Delay = usual; on {
+			s.Delay += time.Duration(e.Size * float64(time.Millisecond))
+		}
+	case "loss":
+		if s.Loss = 0; on {
+			s.Loss = e.Size
+		}
+	}
+}
+
+// move lets discovery answer at another address, as a changed configuration and SIGHUP tell.
+func (p *play) move() {
+	for i, n := range p.nodes {
+		n.discovery = portDiscovery + portDiscovery2 - n.discovery
+		if err := p.agents[i].Serve(p.tells[i], p.address(i, n.discovery)); err != nil {
+			p.crash("discovery of %s: %v", n.Name, err)
+			continue
+		}
+		if err := p.writeConfig(n, n.dir+"/config.json"); err != nil {
+			p.crash("configuration of %s: %v", n.Name, err)
+			continue
+		}
+		p.mu.Lock()
+		x := n.process
+		p.mu.Unlock()
+		x.Signal(syscall.SIGHUP)
+	}
+}
--- /dev/null
+++ b/internal/lab/judge/price.go
@@ -0,0 +1,244 @@
+package judge
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/gonum/stat"
+
+	"martennotch/internal/lab/ledger"
+	"martennotch/internal/lab/record"
+)
+
+// Figure is one measured figure with its unit.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+}
+
+// Figures are in the order in which they are reported.
+type Figures []Figure
+
+// Get gives a figure by name, or NaN.
+func (f Figures) Get(name string) float64 {
+	for _, x := range f {
+		if x.Name == name {
+			return x.Value
+		}
+	}
+	return math.NaN()
+}
+
+func (j *judge) add(name string, value float64, unit string) {
+	j.v.Figures = append(j.v.Figures, Figure{name, value, unit})
+}
+
+const (
+	window   = 10 // s of the worst window
+	wholeAt  = 0.9
+	quarters = 4
+)
+
+// worth is what a request is worth when served in time.
+func (j *judge) worth(arrival int) float64 {
+	a := &j.day.Arrivals[arrival]
+	return j.day.Classes[a.Class].Worth * j.day.Plans[j.day.Customers[a.Customer].Plan].Price * float64(a.Units)
+}
+
+// offered is the worth of each first try that one gateway that saw all of them would let in.
+func (j *judge) offered() []float64 {
+	var quotas []ledger.Quota
+	for _, c := range j.day.Customers {
+		quotas = append(quotas, ledger.Quota{Rate: j.day.Plans[c.Plan].Rate, Depth: j.day.Plans[c.Plan].Depth})
+	}
+	l := ledger.New(quotas, 0, 0)
+	out := make([]float64, len(j.day.Arrivals))
+	for i, a := range j.day.Arrivals {
+		if l.Take(a.Customer, float64(a.Units), a.At) {
+			l.Settle(a.Customer, float64(a.Units), float64(a.True), a.At)
+			out[i] = j.worth(i)
+		}
+	}
+	return out
+}
+
+// price reckons the figures of a play.
+func (j *judge) price() {
+	offered := j.offered()
+	served := make([]float64, len(offered)) // in time and inside the quota
+	j.v.Series = make([]Second, int(math.Ceil(j.day.Length.Seconds())))
+	var n, refused, room, over, units, overCost, attempts, cross, open float64
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	for _, t := range j.book.Order {
+		a := &j.day.Arrivals[t.Arrival]
+		n++
+		attempts += float64(len(t.Attempts))
+		for _, x := range t.Attempts {
+			cross += btof(x.Cross)
+		}
+		if t.Taken {
+			units += float64(t.Units)
+			if !t.Inside {
+				over += float64(t.Units)
+				overCost += j.worth(t.Arrival) * j.day.Plans[j.day.Customers[t.Customer].Plan].OverCost
+			}
+		}
+		sec := &j.v.Series[min(len(j.v.Series)-1, int(max(0, t.Due).Seconds()))]
+		sec.Tries++
+		switch {
+		case t.End == record.Answered && t.Status == 200:
+			h.RecordValue(max(1, int64((t.Ended-t.Due)/time.Microsecond)))
+			if t.Inside && t.Ended-a.At <= time.Duration(j.day.Classes[t.Class].AimMS*float64(time.Millisecond)) {
+				served[t.Arrival] = j.worth(t.Arrival)
+			}
+		case t.Status == 429 || t.Status == 503:
+			refused++
+			sec.Refused++
+			room += btof(t.Room)
+		case t.End == record.Unsent:
+			open++
+		}
+	}
+	j.shares(offered, served)
+	total := max(sum(offered), 1e-9)
+	j.add("over_units", over/max(units, 1), "of units sent on")
+	j.add("over_cost", overCost/total, "of worth offered")
+	j.add("refused", refused/max(n, 1), "of tries")
+	j.add("refused_with_room", room/max(n, 1), "of tries")
+	j.add("unsent", open/max(n, 1), "of tries")
+	j.add("tries", n, "")
+	j.add("attempts", attempts/max(n, 1), "a try")
+	j.add("cross_zone", cross/max(attempts, 1), "of attempts")
+	j.add("probes", float64(j.book.Probes)/max(n, 1), "a try")
+	j.add("p50", float64(h.ValueAtQuantile(50))/1000, "ms")
+	j.add("p99", float64(h.ValueAtQuantile(99))/1000, "ms")
+	j.usage(n)
+	j.lateness()
+}
+
+// shares adds served worth: all, by class and plan, and in the worst window; and how long service
+// took to be whole after the last fault.
+func (j *judge) shares(offered, served []float64) {
+	var all, got float64
+	class, plan := map[string][2]float64{}, map[string][2]float64{}
+	for i, o := range offered {
+		a := &j.day.Arrivals[i]
+		s := &j.v.Series[min(len(j.v.Series)-1, int(a.At.Seconds()))]
+		s.Offered += o
+		s.Served += served[i]
+		all, got = all+o, got+served[i]
+		c, p := j.day.Classes[a.Class].Name, j.day.Plans[j.day.Customers[a.Customer].Plan].Name
+		class[c] = [2]float64{class[c][0] + o, class[c][1] + served[i]}
+		plan[p] = [2]float64{plan[p][0] + o, plan[p][1] + served[i]}
+	}
+	share := func(x [2]float64) float64 { return math.Min(1, x[1]/max(x[0], 1e-9)) }
+	j.add("served", share([2]float64{all, got}), "of worth offered")
+	worst := 1.0
+	for _, c := range j.day.Classes {
+		j.add("served_"+c.Name, share(class[c.Name]), "of worth offered")
+		worst = math.Min(worst, share(class[c.Name]))
+	}
+	j.add("served_worst_class", worst, "of worth offered")
+	for _, p := range j.day.Plans {
+		j.add("served_"+p.Name, share(plan[p.Name]), "of worth offered")
+	}
+	least := 1.0
+	for i := 0; i+min(window, len(j.v.Series)) <= len(j.v.Series); i++ {
+		var x [2]float64
+		for _, s := range j.v.Series[i : i+min(window, len(j.v.Series))] {
+			x[0], x[1] = x[0]+s.Offered, x[1]+s.Served
+		}
+		least = math.Min(least, share(x))
+	}
+	j.add("served_worst_10s", least, "of worth offered")
+	j.add("back", j.back(), "s")
+}
+
+// back is how long after the end of the last fault service was whole again: three seconds together
+// at nine tenths of what they were before the first fault. Where it is not by the end, it is what
+// was left of the day.
+func (j *judge) back() float64 {
+	if len(j.day.Faults) == 0 {
+		return 0
+	}
+	first, last := j.day.Length, time.Duration(0)
+	for _, f := range j.day.Faults {
+		first, last = min(first, f.At), max(last, f.At+f.For)
+	}
+	part := func(from, to int) float64 {
+		var x [2]float64
+		for i := max(0, from); i < min(to, len(j.v.Series)); i++ {
+			x[0], x[1] = x[0]+j.v.Series[i].Offered, x[1]+j.v.Series[i].Served
+		}
+		return x[1] / max(x[0], 1e-9)
+	}
+	before, end := part(0, int(first.Seconds())), int(math.Ceil(last.Seconds()))
+	for i := end; i+3 <= len(j.v.Series); i++ {
+		if part(i, i+3) >= wholeAt*before {
+			return float64(i - end)
+		}
+	}
+	return max(0, (j.day.Length - last).Seconds())
+}
+
+// usage adds what the nodes' processes used, as seen from outside.
+func (j *judge) usage(tries float64) {
+	cpu, most, fds := map[int][]record.Sample{}, int64(0), 0
+	quarter := make([][]float64, quarters)
+	for _, s := range j.book.Samples {
+		cpu[s.Node] = append(cpu[s.Node], s)
+		most, fds = max(most, s.RSS), max(fds, s.Descriptors)
+		if q := int(quarters * s.At / j.day.Length); s.At >= 0 && q < quarters {
+			quarter[q] = append(quarter[q], float64(s.RSS)/(1<<20))
+		}
+	}
+	total := time.Duration(0)
+	for _, ss := range cpu {
+		slices.SortFunc(ss, func(a, b record.Sample) int { return cmp.Compare(a.At, b.At) })
+		for i := 1; i < len(ss); i++ {
+			if d := ss[i].CPU - ss[i-1].CPU; d > 0 && ss[i-1].At >= 0 { // else a new process
+				total += d
+			}
+		}
+	}
+	j.add("cpu", float64(total.Microseconds())/max(tries, 1), "us a try")
+	j.add("memory_most", float64(most)/(1<<20), "MB")
+	for i, q := range quarter {
+		if len(q) > 0 {
+			slices.Sort(q)
+			j.add(fmt.Sprintf("memory_q%d", i+1), stat.Quantile(0.5, stat.Empirical, q, nil), "MB")
+		}
+	}
+	j.add("descriptors_most", float64(fds), "")
+}
+
+func (j *judge) lateness() {
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	over := 0.0
+	for _, t := range j.book.Late {
+		h.RecordValue(max(1, int64(t/time.Microsecond)))
+		over += btof(t > lateSend)
+	}
+	j.add("late", over/math.Max(1, float64(len(j.book.Late))), "of sends")
+	j.add("late_p999", float64(h.ValueAtQuantile(99.9))/1000, "ms")
+}
+
+func btof(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func sum(x []float64) float64 {
+	s := 0.0
+	for _, v := range x {
+		s += v
+	}
+	return s
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,92 @@
+package lab
+
+import (
+	"os"
+	"testing"
+
+	"martennotch/internal/lab/judge"
+	"martennotch/internal/lab/scenario"
+)
+
+// small is a day of a few seconds for fakes, none of which knows of quotas: all ask little.
+func small(t *testing.T, set ...string) *scenario.Day {
+	t.Helper()
+	f, err := scenario.Read("../../scenarios/calm.toml", append([]string{"seconds = 3", "fleet.nodes = 2", "fleet.servers = 4",
+		"fleet.zones = 2", "load.inside = 0.3", "load.heavy = 0", "load.spiky = 0", "load.full = 0", "server.error_rate = 0",
+		"clients.retries = 0", "discovery.notice_s = 0.1", "discovery.add_s = 0.1", "discovery.node_ms = 10",
+		// The tests of many packages share the machine.
+		"server.handshake_ms = 0.4"}, set...)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := f.Draw(7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func playFake(t *testing.T, how string, d *scenario.Day) *judge.Verdict {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := Play(t.Context(), d, Options{Deploy: &Deploy{Root: t.TempDir(), Run: "exec " + self}, Env: []string{fakeVariable + "=" + how}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// Each rule is broken by one fake, and the judge finds that rule broken, and no other.
+func TestJudgeFindsEachCheat(t *testing.T) {
+	drained := lines("[[fault]]", `kind = "replace"`, "at_s = 0.2", "for_s = 0.2", "share = 0.5")
+	pushed := lines("[[fault]]", `kind = "replace"`, "at_s = 0.2", "for_s = 0.2", "share = 0.25")
+	for _, x := range []struct {
+		how, rule string
+		set       []string
+	}{
+		{"honest", "", nil},
+		{"lost", "lost", nil},
+		{"broken", "lost", nil},
+		{"forge", "lost", nil},
+		{"refusal", "refusal", nil},
+		{"halls", "duplicate", nil},
+		{"window", "duplicate", nil},
+		{"many", "duplicate", nil},
+		{"stray", "stray", nil},
+		{"advice", "advice", nil},
+		{"crash", "crash", nil},
+		{"memory", "crash", nil},
+		{"improper", "improper", []string{"seconds = 5", "clients.improper = 20"}},
+		{"drain", "drain", []string{"seconds = 5", drained}},
+		{"cold", "cold", []string{"seconds = 5", "load.inside = 0.6", pushed}},
+	} {
+		t.Run(x.how, func(t *testing.T) {
+			t.Parallel()
+			v := playFake(t, x.how, small(t, x.set...))
+			if x.rule != "" && v.Count[x.rule] == 0 {
+				t.Errorf("rule %s is not found broken; found: %v", x.rule, v.Broken)
+			}
+			for rule := range v.Count {
+				// A node that crashes also loses what it held; so does one that pushes servers over, or
+				// holds a request for as long as its key is remembered.
+				if rule != x.rule && x.rule != "crash" && x.rule != "cold" && x.how != "window" {
+					t.Errorf("rule %s is found broken too: %v", rule, v.Broken[rule])
+				}
+			}
+		})
+	}
+}
+
+// A node that grants all that is asked sends on what is beyond quotas; the judge's own account of
+// the stores shows it.
+func TestJudgeFindsGrantsBeyondQuota(t *testing.T) {
+	t.Parallel()
+	d := small(t, "load.heavy = 0.5", "load.heavy_x = 4")
+	v := playFake(t, "honest", d)
+	if over := v.Figures.Get("over_units"); over < 0.2 {
+		t.Errorf("over_units %.3f of a node that grants all where half of the customers ask four times their rate", over)
+	}
+}
--- /dev/null
+++ b/internal/lab/link/forward.go
@@ -0,0 +1,180 @@
+package link
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	datagram  = 64 << 10
+	dialWait  = 3 * time.Second // a machine that does not answer
+	udpCopies = 256             // datagrams under way at most; more are lost
+)
+
+// Forwarder carries a path between two processes of the fleet, TCP and UDP at one address.
+type Forwarder struct {
+	path   *Path
+	tcp    *Listener
+	udp    *net.UDPConn
+	to     string
+	stop   context.CancelFunc
+	ctx    context.Context
+	done   sync.WaitGroup
+	flight chan struct{}
+	mu     sync.Mutex
+	backs  map[string]*net.UDPConn // by the sender's address: the socket that its answers come to
+}
+
+// Forward listens at an address and passes on to another what comes there.
+func (p *Path) Forward(listen, to string) (*Forwarder, error) {
+	tcp, err := p.Listen(listen)
+	if err != nil {
+		return nil, err
+	}
+	addr, err := net.ResolveUDPAddr("udp", tcp.Addr().String())
+	if err != nil {
+		tcp.Close()
+		return nil, err
+	}
+	udp, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		tcp.Close()
+		return nil, err
+	}
+	f := &Forwarder{path: p, tcp: tcp, udp: udp, to: to, flight: make(chan struct{}, udpCopies), backs: make(map[string]*net.UDPConn)}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	f.done.Add(2)
+	go f.streams()
+	go f.datagrams()
+	return f, nil
+}
+
+// Close ends the forwarder and what it carries.
+func (f *Forwarder) Close() {
+	f.stop()
+	f.tcp.Close()
+	f.udp.Close()
+	f.path.Reset()
+	f.mu.Lock()
+	for _, c := range f.backs {
+		c.Close()
+	}
+	f.mu.Unlock()
+	f.done.Wait()
+}
+
+func (f *Forwarder) streams() {
+	defer f.done.Done()
+	for {
+		c, err := f.tcp.Accept()
+		if err != nil {
+			return
+		}
+		f.done.Add(1)
+		go f.stream(c.(*Conn))
+	}
+}
+
+func (f *Forwarder) stream(near *Conn) {
+	defer f.done.Done()
+	ctx, cancel := context.WithTimeout(f.ctx, dialWait)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", f.to)
+	if err != nil {
+		near.Abort()
+		return
+	}
+	far := c.(*net.TCPConn)
+	var both sync.WaitGroup
+	both.Go(func() {
+		if _, err := io.Copy(far, near); err != nil {
+			far.SetLinger(0)
+			far.Close()
+		}
+		far.CloseWrite()
+	})
+	both.Go(func() {
+		if _, err := io.Copy(near, far); err != nil {
+			near.reset()
+		}
+		near.Conn.(*net.TCPConn).CloseWrite()
+	})
+	both.Wait()
+	far.Close()
+	near.Close()
+}
+
+// datagrams carries what comes to the address on to the far process, each sender from a socket of
+// its own, so that answers find their way back.
+func (f *Forwarder) datagrams() {
+	defer f.done.Done()
+	buf := make([]byte, datagram)
+	for {
+		n, from, err := f.udp.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		if back := f.back(from); back != nil {
+			f.carry(append([]byte(nil), buf[:n]...), true, func(b []byte) { back.Write(b) })
+		}
+	}
+}
+
+// carry sends a datagram on after its delay, or loses it. Nothing waits for a silent path.
+func (f *Forwarder) carry(b []byte, up bool, send func([]byte)) {
+	m := f.path.now.Load()
+	if up && m.HoldUp || !up && m.HoldDown || m.Loss > 0 && rand.Float64() < m.Loss {
+		return
+	}
+	if up {
+		f.path.Up.Add(int64(len(b)))
+	} else {
+		f.path.Down.Add(int64(len(b)))
+	}
+	if m.Delay < delayLeast {
+		send(b)
+		return
+	}
+	select {
+	case f.flight <- struct{}{}:
+		time.AfterFunc(m.Delay, func() { send(b); <-f.flight })
+	default:
+	}
+}
+
+func (f *Forwarder) back(from *net.UDPAddr) *net.UDPConn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.backs[from.String()]; c != nil {
+		return c
+	}
+	to, err := net.ResolveUDPAddr("udp", f.to)
+	if err != nil || f.ctx.Err() != nil {
+		return nil
+	}
+	c, err := net.DialUDP("udp", nil, to)
+	if err != nil {
+		return nil
+	}
+	f.backs[from.String()] = c
+	f.done.Go(func() {
+		buf := make([]byte, datagram)
+		for {
+			n, err := c.Read(buf)
+			if f.ctx.Err() != nil {
+				return
+			}
+			if err != nil { // refused: nobody listens there now
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			f.carry(append([]byte(nil), buf[:n]...), false, func(b []byte) { f.udp.WriteToUDP(b, from) })
+		}
+	})
+	return c
+}
--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,225 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+const soon = 300 * time.Millisecond
+
+// pair is a path with one connection across it.
+func pair(t *testing.T) (p *Path, l *Listener, dialed net.Conn, taken *Conn) {
+	t.Helper()
+	p = NewPath(0, 1, 0)
+	l, err := p.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	dialed, err = net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dialed.Close() })
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return p, l, dialed, c.(*Conn)
+}
+
+func silent(on bool) func(*State) { return func(s *State) { s.HoldUp, s.HoldDown = on, on } }
+
+// While a path is silent a new connection never comes up, as to a machine that vanished; after it,
+// connections come up again.
+func TestSilentPathTakesNoConnection(t *testing.T) {
+	p, l, _, _ := pair(t)
+	accepted := make(chan net.Conn, 8)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	p.Change(silent(true))
+	// The first to come may still find the queue open; it is silent then.
+	var err error
+	for range 3 {
+		var c net.Conn
+		if c, err = net.DialTimeout("tcp", l.Addr().String(), soon); err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	var timeout net.Error
+	if !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Fatalf("a connection to a silent machine: %v, wanted a time-out", err)
+	}
+	p.Change(silent(false))
+	c, err := net.DialTimeout("tcp", l.Addr().String(), 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for {
+		select {
+		case a := <-accepted:
+			if a.RemoteAddr().String() == c.LocalAddr().String() {
+				return
+			}
+			a.Close()
+		case <-time.After(5 * time.Second):
+			t.Fatal("the connection after the silence is not accepted")
+		}
+	}
+}
+
+// A listener that is closed while nothing passes ends its accepting.
+func TestListenerClosesWhileSilent(t *testing.T) {
+	p, l, _, _ := pair(t)
+	p.Change(silent(true))
+	ended := make(chan error)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	l.Close()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("accept: %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("accepting goes on after the close")
+	}
+}
+
+// An open connection stays open and silent, in the directions that are held, and goes on after.
+func TestHeldDirectionIsSilent(t *testing.T) {
+	p, _, dialed, taken := pair(t)
+	p.Change(func(s *State) { s.HoldDown = true })
+	if _, err := dialed.Write([]byte("up")); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, 8)
+	if n, err := taken.Read(b); err != nil || string(b[:n]) != "up" {
+		t.Fatalf("upwards: %q, %v", b[:n], err)
+	}
+	go taken.Write([]byte("down"))
+	dialed.SetReadDeadline(time.Now().Add(soon))
+	if n, err := dialed.Read(b); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("downwards came %q, %v while held", b[:n], err)
+	}
+	p.Change(silent(false))
+	dialed.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := dialed.Read(b); err != nil || string(b[:n]) != "down" {
+		t.Fatalf("downwards: %q, %v after the hold", b[:n], err)
+	}
+}
+
+func TestResetIsSeenAsReset(t *testing.T) {
+	p, _, dialed, _ := pair(t)
+	p.Reset()
+	dialed.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := dialed.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("read %v, wanted a reset", err)
+	}
+}
+
+func TestDelayIsKept(t *testing.T) {
+	p, _, dialed, taken := pair(t)
+	const delay = 50 * time.Millisecond
+	p.Change(func(s *State) { s.Delay = delay })
+	from := time.Now()
+	dialed.Write([]byte("x"))
+	if _, err := taken.Read(make([]byte, 1)); err != nil || time.Since(from) < delay {
+		t.Fatalf("came after %v, %v; the path takes %v", time.Since(from), err, delay)
+	}
+}
+
+// A forwarder carries both protocols, loses datagrams as it is told, and leaves nothing behind.
+func TestForwarderCarriesBothProtocols(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer echo.Close()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			io.Copy(c, c)
+			c.Close()
+		}
+	}()
+	addr := echo.Addr().String()
+	udpAddr, _ := net.ResolveUDPAddr("udp", addr)
+	udp, err := net.ListenUDP("udp", udpAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer udp.Close()
+	go func() {
+		b := make([]byte, 64)
+		for {
+			n, from, err := udp.ReadFromUDP(b)
+			if err != nil {
+				return
+			}
+			udp.WriteToUDP(b[:n], from)
+		}
+	}()
+	p := NewPath(0, 1, time.Millisecond)
+	f, err := p.Forward("127.0.0.1:0", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for _, network := range []string{"tcp", "udp"} {
+		c, err := net.Dial(network, f.tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write([]byte("there and back"))
+		b := make([]byte, 64)
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if n, err := c.Read(b); err != nil || string(b[:n]) != "there and back" {
+			t.Errorf("%s: %q, %v", network, b[:n], err)
+		}
+		if network == "udp" {
+			p.Change(func(s *State) { s.Loss = 1 })
+			c.Write([]byte("lost"))
+			c.SetReadDeadline(time.Now().Add(soon))
+			if n, err := c.Read(b); err == nil {
+				t.Errorf("a lost datagram came back as %q", b[:n])
+			}
+		}
+		c.Close()
+	}
+}
+
+// A dial across a silent path waits until it passes or the caller's time is up.
+func TestDialAcrossSilence(t *testing.T) {
+	p, l, _, _ := pair(t)
+	p.Change(silent(true))
+	ctx, cancel := context.WithTimeout(t.Context(), soon)
+	defer cancel()
+	if _, err := p.Dial(ctx, l.Addr().String()); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("dial: %v, wanted the end of the caller's time", err)
+	}
+}
--- /dev/null
+++ b/internal/lab/origin/server_test.go
@@ -0,0 +1,109 @@
+package origin
+
+import (
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"martennotch/internal/lab/ledger"
+	"martennotch/internal/lab/record"
+	"martennotch/internal/lab/scenario"
+)
+
+// machine is a server alone, in the bubble's time.
+func machine(m scenario.Machine) (*Server, *record.Book, func() time.Duration) {
+	zero := time.Now()
+	clock := func() time.Duration { return time.Since(zero) }
+	d := &scenario.Day{Servers: []scenario.Machine{m}, Classes: []scenario.Class{{Share: scenario.Range{Lo: 1, Hi: 1}, WorkMS: scenario.Range{Lo: 40, Hi: 40}}},
+		File: &scenario.File{Rules: scenario.Rules{FallMultiple: 2, FallMS: 1500}, Server: scenario.Server{WarmBy: "time"}}}
+	b := record.NewBook()
+	return NewFleet(d, b, ledger.New(nil, 0, 0), clock).NewServer(0), b, clock
+}
+
+var warm = scenario.Machine{Cores: 2, Speed: 1, Slots: 4, Queue: 2, ThrashAt: 100, ColdFrom: 0.25, Cold: 10 * time.Second, From: -time.Hour}
+
+// Requests in work share the cores; one alone gets no more than one core.
+func TestWorkSharesTheCores(t *testing.T) {
+	for _, x := range []struct {
+		n    int
+		slow float64
+		want time.Duration // for the last
+	}{{1, 1, 100 * time.Millisecond}, {2, 1, 100 * time.Millisecond}, {4, 1, 200 * time.Millisecond},
+		{6, 1, 300 * time.Millisecond}, {1, 3, 300 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			s, _, clock := machine(warm)
+			s.Change(func(slow, _ *float64, _ *bool) { *slow = x.slow })
+			var jobs []*job
+			for range x.n {
+				jobs = append(jobs, s.admit(0.1, clock()))
+			}
+			for _, j := range jobs {
+				<-j.done
+			}
+			if got := clock(); math.Abs((got - x.want).Seconds()) > 0.001 {
+				t.Errorf("%d requests, %g times as slow: done after %v, wanted %v", x.n, x.slow, got, x.want)
+			}
+			s.timer.Stop()
+		})
+	}
+}
+
+func TestFullServerTurnsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, clock := machine(warm)
+		defer s.timer.Stop()
+		for i := range warm.Slots + warm.Queue {
+			if s.admit(0.1, clock()) == nil {
+				t.Fatalf("request %d is turned away", i)
+			}
+		}
+		if s.admit(0.1, clock()) != nil {
+			t.Error("a full server takes one more")
+		}
+	})
+}
+
+// A cold server bears twice what it can do for a second and a half, and falls over beyond.
+func TestColdServerFallsOverUnderTooMuch(t *testing.T) {
+	cold := warm
+	cold.From, cold.Slots, cold.Queue = 0, 1000, 1000
+	for _, x := range []struct {
+		times float64 // of its present capacity
+		falls bool
+	}{{1, false}, {1.7, false}, {3.5, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			s, book, clock := machine(cold)
+			defer s.timer.Stop()
+			const each = 0.02
+			for clock() < 4*time.Second && len(book.Fallen) == 0 {
+				able := 2 * (0.25 + 0.75*clock().Seconds()/10)
+				s.admit(each, clock())
+				time.Sleep(time.Duration(each / (x.times * able) * float64(time.Second)))
+			}
+			if fell := len(book.Fallen) > 0; fell != x.falls {
+				t.Errorf("sent %g times what it does: fell over %v", x.times, fell)
+			}
+		})
+	}
+}
+
+// A hall drops repeats of a key within its window, and takes a key anew whose first brought nothing.
+func TestHallDropsRepeats(t *testing.T) {
+	h := &hall{keys: map[string]*seen{}}
+	k, mine := h.claim("a", 0, time.Second)
+	if !mine {
+		t.Fatal("a new key is taken for a repeat")
+	}
+	if _, mine := h.claim("a", 900*time.Millisecond, time.Second); mine {
+		t.Error("a repeat within the window runs")
+	}
+	if _, mine := h.claim("a", 1100*time.Millisecond, time.Second); !mine {
+		t.Error("a repeat beyond the window is dropped")
+	}
+	k, _ = h.claim("b", 0, time.Second)
+	h.end("b", k, false)
+	if _, mine := h.claim("b", 1, time.Second); !mine {
+		t.Error("a key whose first brought nothing is dropped")
+	}
+}
--- /dev/null
+++ b/internal/lab/record/record.go
@@ -0,0 +1,173 @@
+// Package record keeps what the stand-in itself has seen of a play: each try from its client's
+// side, each attempt from its server's. The judge goes by it alone, never by a node's word.
+package record
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// End tells how a try ended for its client.
+type End int
+
+// The ends of a try.
+const (
+	Open     End = iota // no end seen yet
+	Answered            // a whole answer came
+	Broken              // the connection ended under it without a whole answer
+	Unheard             // nothing came until long after its time
+	Unsent              // no connection took it
+	Left                // the client went away
+)
+
+// Outcome tells how an attempt ended at its server.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	Running Outcome = iota
+	Served
+	Failed    // 500: it may have run
+	Away      // turned away unseen
+	GivenUp   // the node closed the connection
+	Died      // the server died under it
+	Repeated  // a repeat of a key that its hall has: dropped, answered as the first
+	Unknown   // carries an id that no client sent
+	Proofless // the server's side broke the answer on purpose
+)
+
+// Try is one try of a client. Times are on the play's clock.
+type Try struct {
+	ID            string
+	Arrival, N    int // of the day's arrivals; how many tries came before
+	Customer      int
+	Class         int
+	Units, True   int
+	Node          int
+	Due           time.Duration // when the day has it; of later tries, when its client wanted it
+	Sent          time.Duration // its last byte was written
+	Left          time.Duration // that the client will wait from then
+	Fresh         bool          // the first request on its connection
+	End           End
+	Status        int
+	Genuine       bool // the body is one that a server made for this try
+	Advice        bool // a refusal with Retry-After
+	Ended         time.Duration
+	NodeKilled    bool // its node was killed while it was out
+	Attempts      []*Attempt
+	Inside, Taken bool // of the quota: its first attempt was inside; it has had one
+	Room          bool // at a refusal: half of the store was unused
+}
+
+// Attempt is one copy of a try that reached a server whole.
+type Attempt struct {
+	Try         *Try
+	Server      int
+	Node        int
+	First, Last time.Duration // its first and last byte arrived
+	Ended       time.Duration
+	Outcome     Outcome
+	Work        float64 // core-seconds done for it
+	Cross       bool
+}
+
+// Sample is what a node's process looked like from outside.
+type Sample struct {
+	At          time.Duration
+	Node        int
+	RSS         int64         // bytes
+	CPU         time.Duration // since its start
+	Descriptors int
+}
+
+// Book holds the records of one play. It is safe for concurrent use.
+type Book struct {
+	mu       sync.Mutex
+	tries    map[string]*Try
+	Order    []*Try
+	Strays   []string // ids that came to a server and from no client
+	Fallen   []int    // servers pushed over while cold
+	Samples  []Sample
+	Crashes  []string        // what ended or broke a limit unasked
+	Improper []time.Duration // how long improper peers waited for an error or a close
+	Told     map[Pair][]Told
+	Late     []time.Duration // of each send of the generator against its time
+	Probes   int
+	Runs     []Run
+}
+
+// Pair is a node and a server.
+type Pair struct{ Node, Server int }
+
+// Never is a time that does not come.
+const Never = time.Duration(math.MaxInt64)
+
+// Told is one change of the list, and when one node was told it; Never where it was not.
+type Told struct {
+	Change, At time.Duration
+	Kind       string // "up", "draining", "removed"
+}
+
+// Changed enters a change that a node is to be told.
+func (b *Book) Changed(p Pair, at time.Duration, kind string) {
+	b.With(func() { b.Told[p] = append(b.Told[p], Told{at, Never, kind}) })
+}
+
+// Heard enters that a node has been written the newest state of a server. What changed before is
+// told with it; to a process that starts anew it is told anew.
+func (b *Book) Heard(p Pair, at time.Duration, kind string) {
+	b.With(func() {
+		news := false
+		for i := range b.Told[p] {
+			if t := &b.Told[p][i]; t.At == Never {
+				t.At, news = at, true
+			}
+		}
+		if !news {
+			b.Told[p] = append(b.Told[p], Told{at, at, kind})
+		}
+	})
+}
+
+// Run is the life of one process of a node; To is zero while it runs.
+type Run struct {
+	Node     int
+	From, To time.Duration
+	Killed   bool // ended by SIGKILL with no SIGTERM before
+}
+
+// NewBook makes an empty book.
+func NewBook() *Book { return &Book{tries: make(map[string]*Try), Told: make(map[Pair][]Told)} }
+
+// With runs f while nothing else writes to the book.
+func (b *Book) With(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+}
+
+// Begin enters a try before it is sent.
+func (b *Book) Begin(t *Try) {
+	b.With(func() {
+		b.tries[t.ID] = t
+		b.Order = append(b.Order, t)
+	})
+}
+
+// Find gives the try of an id, or nil.
+func (b *Book) Find(id string) *Try {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tries[id]
+}
+
+// Arrive enters an attempt that has reached its server whole.
+func (b *Book) Arrive(a *Attempt) {
+	b.With(func() { a.Try.Attempts = append(a.Try.Attempts, a) })
+}
+
+// Finish enters how an attempt ended.
+func (b *Book) Finish(a *Attempt, o Outcome, at time.Duration, work float64) {
+	b.With(func() { a.Outcome, a.Ended, a.Work = o, at, work })
+}
