Add the pure part of shared quotas and compare ways to share in virtual time

Need: whether a customer's owner lends units (leases) or is told of uses and tells its level (merged counters) is to be decided by measurement at 300 nodes. Change: fleet/share has the choice of owners by rendezvous hashing, the owner's store, its notices and the view of a node, each with a bound on its age; fleetlab virtual plays a scenario's tries in virtual time in three ways. Nothing of the node uses it yet.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -21,6 +21,7 @@
 	"martennotch/internal/lab/proc"
 	"martennotch/internal/lab/report"
 	"martennotch/internal/lab/scenario"
+	"martennotch/internal/lab/virtual"
 )
 
 // Exit codes: a play may pass, fail, or not be possible.
@@ -35,6 +36,7 @@
 type cli struct {
 	Run     runCmd     `cmd:"" help:"Play one seed of a scenario and judge it."`
 	Compare compareCmd `cmd:"" help:"Play two sides in turn on the same seeds."`
+	Virtual virtualCmd `cmd:"" help:"Play a scenario's tries in virtual time against ways to share quotas."`
 	List    listCmd    `cmd:"" help:"List the scenarios."`
 }
 
@@ -64,6 +66,14 @@
 	AgainstProgram string   `help:"Another checkout whose program is the other side." type:"existingdir"`
 }
 
+type virtualCmd struct {
+	File  string   `arg:"" help:"The scenario."`
+	Nodes int      `help:"Nodes of the fleet; servers grow with them." default:"300"`
+	Seeds string   `help:"Seeds, as 1..5." default:"1..3"`
+	Ways  []string `help:"Ways to share." default:"alone,lease,notices"`
+	Loss  float64  `help:"Part of the messages that is lost."`
+}
+
 type listCmd struct {
 	Dir string `arg:"" optional:"" help:"Folder of the scenarios." default:"scenarios"`
 }
@@ -236,6 +246,36 @@
 	return from, to, nil
 }
 
+// Run plays each way on each seed and prints each figure's median and spread.
+func (r *virtualCmd) Run() error {
+	from, to, err := span(r.Seeds)
+	if err != nil {
+		return err
+	}
+	ways, err := virtual.Ways(r.Ways)
+	if err != nil {
+		return err
+	}
+	f, err := scenario.Read(r.File, fmt.Sprintf("fleet.nodes = %d", r.Nodes), fmt.Sprintf("fleet.servers = %d", max(1, r.Nodes*2/3)))
+	if err != nil {
+		return err
+	}
+	plays := map[virtual.Way][]judge.Figures{}
+	for seed := from; seed <= to; seed++ {
+		d, err := f.Draw(seed)
+		if err != nil {
+			return err
+		}
+		for _, w := range ways {
+			plays[w] = append(plays[w], virtual.Run(d, w, r.Loss))
+		}
+	}
+	for _, w := range ways {
+		report.Spreads(os.Stdout, fmt.Sprintf("%s, %d nodes, %d seeds", w, r.Nodes, to-from+1), plays[w])
+	}
+	return nil
+}
+
 func (l *listCmd) Run() error {
 	paths, err := filepath.Glob(filepath.Join(l.Dir, "*.toml"))
 	if err != nil {
--- a/internal/lab/discovery/discovery.go
+++ b/internal/lab/discovery/discovery.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"log"
 	"net"
@@ -42,9 +41,10 @@
 	movedOpen = 1500 * time.Millisecond // that the old address keeps its connections
 )
 
-// spoilt is what an agent sends in place of a list while it is spoilt.
+// spoilt is what an agent sends in place of a list while it is spoilt. None of it is a list in the
+// protocol's form: one that is well formed and empty binds, as who is not in a whole list is gone.
 var spoilt = []string{
-	"{\"rev\":", "[]\n", "{\"rev\":1,\"all\":true,\"targets\":[]}\n", "null\n", "\x00\xff\xfe\n",
+	"{\"rev\":", "[]\n", "{\"rev\":1,\"all\":true}\n", "null\n", "\x00\xff\xfe\n",
 	"{\"rev\":-4,\"all\":false,\"targets\":[{\"uid\":\"\",\"endpoint\":\"nowhere\",\"state\":\"up\"}]}\n",
 	"{\"rev\":9,\"all\":true,\"targets\":[{\"uid\":\"s-0\",\"endpoint\":\"127.0.0.1:99999\",\"state\":\"up\",\"boot_ms\":1e30}]}\n",
 }
@@ -58,7 +58,6 @@
 
 // Agent tells one node. It is safe for concurrent use.
 type Agent struct {
-	node    int
 	told    func(server int, state string)
 	mu      sync.Mutex
 	rev     int
@@ -71,9 +70,9 @@
 	http    *http.Server
 }
 
-// NewAgent makes an agent; told hears of each change when it has been written to the node.
-func NewAgent(node int, told func(server int, state string)) *Agent {
-	return &Agent{node: node, told: told, entries: make(map[string]*entry), changed: make(chan struct{})}
+// NewAgent makes the agent of a node; told hears of each change when it has been written to the node.
+func NewAgent(told func(server int, state string)) *Agent {
+	return &Agent{told: told, entries: make(map[string]*entry), changed: make(chan struct{})}
 }
 
 // Serve answers at an address across a path, in place of where it answered before: the old address
@@ -255,6 +254,3 @@
 	}
 	return http.NewResponseController(w).Flush() == nil
 }
-
-// String names the agent in errors.
-func (a *Agent) String() string { return fmt.Sprintf("discovery of node %d", a.node) }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"martennotch/internal/lab/discovery"
 	"martennotch/internal/lab/link"
 	"martennotch/internal/lab/scenario"
 )
@@ -41,21 +42,9 @@
 			}
 		}
 	case "dark":
-		for _, a := range p.agents {
-			a.Dark(true)
-		}
-		p.wait(ctx, e.For)
-		for _, a := range p.agents {
-			a.Dark(false)
-		}
+		p.agentsFor(ctx, e.For, (*discovery.Agent).Dark)
 	case "spoilt":
-		for _, a := range p.agents {
-			a.Spoil(true)
-		}
-		p.wait(ctx, e.For)
-		for _, a := range p.agents {
-			a.Spoil(false)
-		}
+		p.agentsFor(ctx, e.For, (*discovery.Agent).Spoil)
 	case "move":
 		p.move()
 	case "counter":
@@ -65,6 +54,17 @@
 	}
 }
 
+// agentsFor switches something on at all agents for a while.
+func (p *play) agentsFor(ctx context.Context, span time.Duration, set func(*discovery.Agent, bool)) {
+	for _, a := range p.agents {
+		set(a, true)
+	}
+	p.wait(ctx, span)
+	for _, a := range p.agents {
+		set(a, false)
+	}
+}
+
 // wait lets a while pass, unless the play ends.
 func (p *play) wait(ctx context.Context, span time.Duration) bool {
 	select {
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -96,7 +96,7 @@
 }
 
 // ran tells whether an attempt may have run, as far as anybody but its server knows.
-func ran(a *record.Attempt) bool { return a.Outcome != record.Away && a.Outcome != record.Unknown }
+func ran(a *record.Attempt) bool { return a.Outcome != record.Away }
 
 // harmless tells whether trying again does no harm: nothing may have run, or runs do not matter.
 func (j *judge) harmless(t *record.Try) bool {
--- a/internal/lab/judge/price.go
+++ b/internal/lab/judge/price.go
@@ -72,7 +72,7 @@
 	offered := j.offered()
 	served := make([]float64, len(offered)) // in time and inside the quota
 	j.v.Series = make([]Second, int(math.Ceil(j.day.Length.Seconds())))
-	var n, refused, room, over, units, overCost, attempts, cross, open float64
+	var n, refused, room, over, units, overCost, attempts, cross, open, work, waste float64
 	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	for _, t := range j.book.Order {
 		a := &j.day.Arrivals[t.Arrival]
@@ -80,6 +80,9 @@
 		attempts += float64(len(t.Attempts))
 		for _, x := range t.Attempts {
 			cross += btof(x.Cross)
+			if work += x.Work; x.Outcome != record.Served {
+				waste += x.Work
+			}
 		}
 		if t.Taken {
 			units += float64(t.Units)
@@ -113,8 +116,10 @@
 	j.add("unsent", open/max(n, 1), "of tries")
 	j.add("tries", n, "")
 	j.add("attempts", attempts/max(n, 1), "a try")
+	j.add("waste", waste/max(work, 1e-9), "of work done")
 	j.add("cross_zone", cross/max(attempts, 1), "of attempts")
 	j.add("probes", float64(j.book.Probes)/max(n, 1), "a try")
+	j.add("handshakes", float64(j.book.Opened)/max(n, 1), "a try")
 	j.add("p50", float64(h.ValueAtQuantile(50))/1000, "ms")
 	j.add("p99", float64(h.ValueAtQuantile(99))/1000, "ms")
 	j.usage(n)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -110,6 +110,11 @@
 		return nil, context.Cause(ctx)
 	}
 	p.stopNodes()
+	for _, paths := range p.paths {
+		for _, path := range paths {
+			p.book.Opened += path.Opened.Load()
+		}
+	}
 	return judge.Judge(d, p.book), nil
 }
 
@@ -189,7 +194,7 @@
 // buildNode makes what stands around one node: discovery's agent, the counter's path, its disk and
 // the front's view of it.
 func (p *play) buildNode(i int, n scenario.Node) error {
-	a := discovery.NewAgent(i, func(server int, state string) { p.told(i, server, state) })
+	a := discovery.NewAgent(func(server int, state string) { p.told(i, server, state) })
 	tell := link.NewPath(i, partyDiscovery, 0)
 	if err := a.Serve(tell, p.address(i, portDiscovery)); err != nil {
 		return err
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
@@ -266,6 +265,9 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &have); err != nil {
 		return err
 	}
+	if most := 250; len(d.Nodes) > most || len(d.Servers) > 2*most {
+		return fmt.Errorf("%s has %d nodes and %d servers, a machine plays %d and %d", d.Name, len(d.Nodes), len(d.Servers), most, 2*most)
+	}
 	rate := float64(len(d.Arrivals)) / d.Length.Seconds()
 	need := len(d.Nodes)*len(d.Servers) + 8*len(d.Nodes) + 4*int(rate) + 200
 	if uint64(need) > have.Cur {
@@ -278,6 +280,3 @@
 func (d *Deploy) Make(ctx context.Context) error {
 	return proc.Run(ctx, d.Root, d.Build)
 }
-
-// String names the deployment in reports.
-func (d *Deploy) String() string { return strings.TrimPrefix(d.Run, "exec ") }
--- a/internal/lab/origin/server.go
+++ b/internal/lab/origin/server.go
@@ -318,6 +318,3 @@
 	defer s.mu.Unlock()
 	return s.since
 }
-
-// Paths gives the paths to the server, by node.
-func (s *Server) Paths() []*link.Path { return s.paths }
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -28,13 +28,11 @@
 const (
 	Running Outcome = iota
 	Served
-	Failed    // 500: it may have run
-	Away      // turned away unseen
-	GivenUp   // the node closed the connection
-	Died      // the server died under it
-	Repeated  // a repeat of a key that its hall has: dropped, answered as the first
-	Unknown   // carries an id that no client sent
-	Proofless // the server's side broke the answer on purpose
+	Failed   // 500: it may have run
+	Away     // turned away unseen
+	GivenUp  // the node closed the connection
+	Died     // the server died under it
+	Repeated // a repeat of a key that its hall has: dropped, answered as the first
 )
 
 // Try is one try of a client. Times are on the play's clock.
@@ -94,6 +92,7 @@
 	Told     map[Pair][]Told
 	Late     []time.Duration // of each send of the generator against its time
 	Probes   int
+	Opened   int64 // connections to rating servers that came up
 	Runs     []Run
 }
 
--- a/internal/lab/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"image/color"
 	"math"
-	"slices"
 	"strconv"
 
 	"gonum.org/v1/plot"
@@ -13,8 +12,6 @@
 	"gonum.org/v1/plot/vg/draw"
 )
 
-func sortFloats(x []float64) { slices.Sort(x) }
-
 var (
 	servedColor  = color.RGBA{R: 20, G: 90, B: 160, A: 255}
 	refusedColor = color.RGBA{R: 200, G: 90, B: 20, A: 255}
@@ -79,12 +76,12 @@
 	return c.Save(width, height, path)
 }
 
-// plotSeeds draws a few shares of all plays side by side, a point for each seed.
-func plotSeeds(path string, plays []Play) error {
+// plotSeeds draws some figures of all plays side by side, a point for each seed; a top of zero goes
+// by the points.
+func plotSeeds(path string, plays []Play, unit string, top float64, names ...string) error {
 	c := plot.New()
 	c.Title.Text = fmt.Sprintf("%s, %d seeds", plays[0].Day.Name, len(plays))
-	c.Y.Label.Text, c.Y.Min, c.Y.Max = "share", 0, 1
-	names := []string{"served", "served_worst_10s", "served_worst_class", "over_units", "refused_with_room"}
+	c.Y.Label.Text = unit
 	c.NominalX(names...)
 	for i, name := range names {
 		var points plotter.XYs
@@ -99,5 +96,9 @@
 		s.GlyphStyle.Color, s.GlyphStyle.Shape, s.GlyphStyle.Radius = servedColor, draw.CircleGlyph{}, vg.Points(3)
 		c.Add(s)
 	}
+	if c.Y.Min = 0; top > 0 {
+		c.Y.Max = top
+	}
+	c.X.Min, c.X.Max = -0.5, float64(len(names))-0.5
 	return c.Save(width, height, path)
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -9,6 +9,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -97,8 +98,8 @@
 // Of gives the spread of some values.
 func Of(values []float64) Spread {
 	x := append([]float64(nil), values...)
-	sortFloats(x)
-	return Spread{stat.Quantile(0.5, stat.LinInterp, x, nil), x[0], x[len(x)-1]}
+	slices.Sort(x)
+	return Spread{(x[(len(x)-1)/2] + x[len(x)/2]) / 2, x[0], x[len(x)-1]}
 }
 
 // Paired is the mean of paired differences with half the width of its 95% interval, by Student's t;
@@ -131,6 +132,21 @@
 	t.Flush()
 }
 
+// Spreads prints each figure's median, least and most over plays.
+func Spreads(w io.Writer, title string, plays []judge.Figures) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "%s\tmedian\tleast\tmost\t\n", title)
+	for _, f := range plays[0] {
+		var x []float64
+		for _, p := range plays {
+			x = append(x, p.Get(f.Name))
+		}
+		s := Of(x)
+		fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%.4g\t%s\n", f.Name, s.Median, s.Low, s.High, f.Unit)
+	}
+	t.Flush()
+}
+
 // Play is one play of a report.
 type Play struct {
 	Day     *scenario.Day
@@ -154,10 +170,14 @@
 		fmt.Fprintf(&b, "## Seed %d\n\n%s\n\n![served and refused over time](%s)\n\n", p.Day.Seed, last, name)
 	}
 	if len(plays) > 1 {
-		if err := plotSeeds(filepath.Join(dir, "seeds.png"), plays); err != nil {
+		shares := []string{"served", "served_worst_10s", "served_worst_class", "over_units", "refused_with_room"}
+		if err := plotSeeds(filepath.Join(dir, "seeds.png"), plays, "share", 1, shares...); err != nil {
+			return err
+		}
+		if err := plotSeeds(filepath.Join(dir, "back.png"), plays, "s until service is whole", 0, "back"); err != nil {
 			return err
 		}
-		fmt.Fprint(&b, "## Over seeds\n\n![distribution by seed](seeds.png)\n\n")
+		fmt.Fprint(&b, "## Over seeds\n\n![distribution by seed](seeds.png)\n\n![time to recover, by seed](back.png)\n\n")
 	}
 	fmt.Fprint(&b, "| figure | median | least | most | unit |\n| --- | --- | --- | --- | --- |\n")
 	for _, f := range plays[0].Verdict.Figures {
--- a/internal/lab/scenario/day.go
+++ b/internal/lab/scenario/day.go
@@ -221,7 +221,7 @@
 		}
 		some := func(n int) []int { return rng.Perm(n)[:max(1, int(math.Round(share*float64(n))))] }
 		switch x.Kind {
-		case "kill", "stop", "diskfull":
+		case "kill", "stop":
 			e.Targets = some(len(d.Nodes))
 		case "slow", "errors", "pause", "crash", "reset":
 			e.Targets = some(d.started())
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -219,27 +219,26 @@
 
 // kinds are the faults that can be named, with what each needs beyond its time.
 var kinds = map[string]struct{ share, size, span bool }{
-	"kill":     {share: true},             // SIGKILL of nodes; they start anew after for_s
-	"stop":     {share: true, span: true}, // SIGSTOP, then SIGCONT
-	"restart":  {share: true},             // SIGTERM of some nodes each each_s until share is through
-	"slow":     {share: true, size: true, span: true},
-	"errors":   {share: true, size: true, span: true},
-	"pause":    {share: true, span: true},
-	"crash":    {share: true},                         // servers die; back cold after for_s
-	"zone":     {span: true},                          // servers of a zone vanish, back cold
-	"split":    {span: true},                          // a zone is cut off from the others
-	"oneway":   {span: true},                          // from a zone requests go out, answers do not come
-	"delay":    {size: true, span: true},              // links to a zone take size ms longer
-	"loss":     {size: true, span: true},              // part of the packets of links to a zone is lost
-	"reset":    {share: true},                         // open connections to some servers are reset
-	"replace":  {share: true, span: true},             // servers drain and new ones come, over for_s
-	"dark":     {span: true},                          // discovery is silent
-	"spoilt":   {span: true},                          // discovery sends what is no list
-	"move":     {},                                    // discovery moves; nodes get SIGHUP
-	"counter":  {span: true},                          // the counter is gone, back empty
-	"burst":    {size: true, span: true},              // everybody asks size times as much
-	"shared":   {size: true, span: true},              // all servers are slower by size
-	"diskfull": {share: true, span: true, size: true}, // a node's disk takes no more
+	"kill":    {share: true},             // SIGKILL of nodes; they start anew after for_s
+	"stop":    {share: true, span: true}, // SIGSTOP, then SIGCONT
+	"restart": {share: true},             // SIGTERM of some nodes each each_s until share is through
+	"slow":    {share: true, size: true, span: true},
+	"errors":  {share: true, size: true, span: true},
+	"pause":   {share: true, span: true},
+	"crash":   {share: true},             // servers die; back cold after for_s
+	"zone":    {span: true},              // servers of a zone vanish, back cold
+	"split":   {span: true},              // a zone is cut off from the others
+	"oneway":  {span: true},              // from a zone requests go out, answers do not come
+	"delay":   {size: true, span: true},  // links to a zone take size ms longer
+	"loss":    {size: true, span: true},  // part of the packets of links to a zone is lost
+	"reset":   {share: true},             // open connections to some servers are reset
+	"replace": {share: true, span: true}, // servers drain and new ones come, over for_s
+	"dark":    {span: true},              // discovery is silent
+	"spoilt":  {span: true},              // discovery sends what is no list
+	"move":    {},                        // discovery moves; nodes get SIGHUP
+	"counter": {span: true},              // the counter is gone, back empty
+	"burst":   {size: true, span: true},  // everybody asks size times as much
+	"shared":  {size: true, span: true},  // all servers are slower by size
 }
 
 // Read reads a scenario file; an unknown key is an error. Each of set is a KEY=VALUE in the file's
@@ -308,10 +307,10 @@
 		return errors.New("name: there is none")
 	case !(f.Seconds >= 1 && f.Seconds <= 3600):
 		return fmt.Errorf("seconds: %g is not within 1 to 3600", f.Seconds)
-	case f.Fleet.Nodes.Lo < 1 || f.Fleet.Nodes.Hi > 250:
-		return fmt.Errorf("fleet.nodes: %v is not within 1 to 250", f.Fleet.Nodes)
-	case f.Fleet.Servers.Lo < 1 || f.Fleet.Servers.Hi > 250:
-		return fmt.Errorf("fleet.servers: %v is not within 1 to 250", f.Fleet.Servers)
+	case f.Fleet.Nodes.Lo < 1 || f.Fleet.Nodes.Hi > 10000:
+		return fmt.Errorf("fleet.nodes: %v is not within 1 to 10000", f.Fleet.Nodes)
+	case f.Fleet.Servers.Lo < 1 || f.Fleet.Servers.Hi > 10000:
+		return fmt.Errorf("fleet.servers: %v is not within 1 to 10000", f.Fleet.Servers)
 	case f.Fleet.Zones.Lo < 1 || f.Fleet.Zones.Hi > 26:
 		return fmt.Errorf("fleet.zones: %v is not within 1 to 26", f.Fleet.Zones)
 	case len(f.Class) == 0 || len(f.Plan) == 0:
--- /dev/null
+++ b/internal/lab/virtual/virtual_test.go
@@ -0,0 +1,49 @@
+package virtual
+
+import (
+	"reflect"
+	"testing"
+
+	"martennotch/internal/lab/scenario"
+)
+
+func day(t *testing.T, seed uint64) *scenario.Day {
+	t.Helper()
+	f, err := scenario.Read("../../../scenarios/wide.toml", "seconds = 12")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := f.Draw(seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// A day plays the same each time, also with messages lost.
+func TestPlayIsTheSeeds(t *testing.T) {
+	d := day(t, 1)
+	for _, way := range []Way{Alone, Lease, Notices} {
+		if a, b := Run(d, way, 0.05), Run(d, way, 0.05); !reflect.DeepEqual(a, b) {
+			t.Errorf("%s: two plays of one day differ: %v, %v", way, a, b)
+		}
+	}
+}
+
+// Told of each use, a fleet of sixty keeps to the quotas without refusing what has room; without
+// messages it does not, and losing a tenth of them costs little.
+func TestNoticesKeepToQuotas(t *testing.T) {
+	for seed := range uint64(3) {
+		d := day(t, 100+seed)
+		all, most, none := Run(d, Notices, 0), Run(d, Notices, 0.1), Run(d, Notices, 1)
+		if over, room := all.Get("over_units"), all.Get("refused_with_room"); over > 0.04 || room > 0.06 {
+			t.Errorf("seed %d: over %.3f, refused with room %.3f", d.Seed, over, room)
+		}
+		if over := most.Get("over_units"); over > 0.06 {
+			t.Errorf("seed %d: over %.3f with a tenth of the messages lost", d.Seed, over)
+		}
+		if over := none.Get("over_units"); over < 0.15 {
+			t.Errorf("seed %d: over %.3f with all messages lost; this test could not fail", d.Seed, over)
+		}
+	}
+}
