Let nodes know each other: SWIM membership where a fleet file and the settings allow it

Need: processes that share state must know who is there; the issue on shared state begins with membership. Change: internal/peer keeps the live members over memberlist with its timings for one site: label, zone, region, program, state version and incarnation of each; a graceful leave at SIGTERM, seeds looked for again each 15 s so that a healed cut is joined, members bounded at 1024, streams ended after 3 s. NODE_FLEET (or -fleet) names the file; lockflow check FILE reads it; SIGHUP takes new seeds, a bad file changes nothing. Without the file nothing runs; where the settings refuse peers they stay off and the log says so. flag of the standard library in place of kong in the node, which would be linked into a process of 32 MB for one flag. The lab lets nodes talk through a forwarder for each two. Tests over sockets: leave, death, return, strangers, a cut that heals.

--- a/cmd/lockflow/main.go
+++ b/cmd/lockflow/main.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"flag"
+	"fmt"
 	"log/slog"
 	"math"
 	"os"
@@ -28,18 +30,42 @@
 	// not while the node starts or drains.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	if err := run(ctx, hup); err != nil {
+	fleet := flag.String("fleet", os.Getenv("NODE_FLEET"), "fleet file; none is everything off")
+	flag.Parse()
+	if flag.Arg(0) == "check" {
+		os.Exit(check(flag.Arg(1)))
+	}
+	if err := run(ctx, hup, *fleet); err != nil {
 		slog.Error("lockflow ends", "err", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, hup <-chan os.Signal) error {
+// check tells whether a fleet file can be used, without starting.
+func check(path string) int {
+	if _, err := node.LoadFleet(path); err != nil {
+		fmt.Fprintln(os.Stderr, "lockflow:", err)
+		return 1
+	}
+	fmt.Println(path, "can be used")
+	return 0
+}
+
+// load reads the node's configuration and, where one is named, its fleet file.
+func load(path, fleet string) (node.Config, error) {
+	cfg, err := node.LoadConfig(path)
+	if err == nil && fleet != "" {
+		cfg.Fleet, err = node.LoadFleet(fleet)
+	}
+	return cfg, err
+}
+
+func run(ctx context.Context, hup <-chan os.Signal, fleet string) error {
 	path := os.Getenv("NODE_CONFIG")
 	if path == "" {
 		return errors.New("NODE_CONFIG names no configuration file")
 	}
-	cfg, err := node.LoadConfig(path)
+	cfg, err := load(path, fleet)
 	if err != nil {
 		return err
 	}
@@ -61,7 +87,7 @@
 	}
 	go func() {
 		for range hup {
-			reload(n, path)
+			reload(n, path, fleet)
 		}
 	}()
 	return n.Run(ctx)
@@ -69,8 +95,8 @@
 
 // reload reads the configuration again. Once it was read anew the file goes before the
 // environment; a file that can't be used changes nothing.
-func reload(n *node.Node, path string) {
-	cfg, err := node.LoadConfig(path)
+func reload(n *node.Node, path, fleet string) {
+	cfg, err := load(path, fleet)
 	if err != nil {
 		slog.Error("reload: the old configuration stays", "err", err)
 		return
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -235,9 +235,13 @@
 			}
 		}
 	}
-	change(true)
+	both := func(on bool) {
+		change(on)
+		p.cutPeers(zone, func(st *link.State, usual time.Duration) { p.spoil(st, e, on, usual) })
+	}
+	both(true)
 	p.wait(ctx, e.For)
-	change(false)
+	both(false)
 }
 
 func (p *play) spoil(s *link.State, e scenario.Event, on bool, usual time.Duration) {
--- a/internal/lab/judge/price.go
+++ b/internal/lab/judge/price.go
@@ -123,9 +123,30 @@
 	j.add("p50", float64(h.ValueAtQuantile(50))/1000, "ms")
 	j.add("p99", float64(h.ValueAtQuantile(99))/1000, "ms")
 	j.usage(n)
+	j.membership()
 	j.lateness()
 }
 
+// membership adds how long after the last fault the nodes' views of each other were right for good,
+// and what their talk came to. A play in which nodes do not talk has neither.
+func (j *judge) membership() {
+	if len(j.book.Views) == 0 {
+		return
+	}
+	last, wrong, part := time.Duration(0), time.Duration(0), 0.0
+	for _, f := range j.day.Faults {
+		last = max(last, f.At+f.For)
+	}
+	for _, v := range j.book.Views {
+		if part += v.Right; v.Right < 1 && v.At > last {
+			wrong = v.At - last
+		}
+	}
+	j.add("views_right", part/float64(len(j.book.Views)), "of the day, mean over nodes")
+	j.add("views_back", wrong.Seconds(), "s")
+	j.add("talk", float64(j.book.Talk)/float64(len(j.day.Nodes))/j.day.Length.Seconds(), "bytes a second and node")
+}
+
 // shares adds served worth: all, by class and plan, and in the worst window; and how long service
 // took to be whole after the last fault.
 func (j *judge) shares(offered, served []float64) {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -74,6 +74,9 @@
 	tells   []*link.Path   // to discovery, by node
 	wg      sync.WaitGroup
 	revs    map[int]int
+
+	between    [][]*link.Path // nodes that talk, from and to
+	forwarders []*link.Forwarder
 }
 
 // errBusy is what a machine that can't hold the play gives.
@@ -109,6 +112,7 @@
 	if ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
+	p.book.Talk = p.peerTraffic()
 	p.stopNodes()
 	for _, paths := range p.paths {
 		for _, path := range paths {
@@ -183,6 +187,11 @@
 		}
 	}
 	p.clients = &client.Clients{Day: d, Book: p.book, Ledger: p.ledger, Nodes: p.fronts, Clock: p.clock, Killed: p.killed}
+	if d.File.On.Peers {
+		if err := p.buildPeers(); err != nil {
+			return err
+		}
+	}
 	for _, n := range p.nodes {
 		if err := p.start(ctx, n); err != nil {
 			return err
@@ -339,6 +348,9 @@
 		}
 	}
 	p.wg.Go(func() { p.sample(faults) })
+	if p.day.File.On.Peers {
+		p.wg.Go(func() { p.look(faults) })
+	}
 	if rate := p.day.File.Clients.Improper; rate > 0 {
 		p.wg.Go(func() { p.clients.Improper(faults, rate) })
 	}
@@ -389,5 +401,8 @@
 	if p.counter != nil {
 		p.counter.Close()
 	}
+	for _, f := range p.forwarders {
+		f.Close()
+	}
 	p.wg.Wait()
 }
--- a/internal/lab/link/forward.go
+++ b/internal/lab/link/forward.go
@@ -56,6 +56,7 @@
 // Close ends the forwarder and what it carries.
 func (f *Forwarder) Close() {
 	f.stop()
+	f.path.Change(func(s *State) { s.HoldUp, s.HoldDown = false, false }) // what waits on it ends
 	f.tcp.Close()
 	f.udp.Close()
 	f.path.Reset()
@@ -178,3 +179,6 @@
 	})
 	return c
 }
+
+// Address is where the forwarder listens.
+func (f *Forwarder) Address() string { return f.tcp.Addr().String() }
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -46,6 +46,7 @@
 	scenario.Node
 	index     int
 	dir       string // its disk, which outlives its process
+	fleet     string // its fleet file; "" is none
 	discovery int    // the port at which discovery is now
 	starts    int
 	process   *proc.Process
@@ -105,6 +106,9 @@
 	n.starts++
 	env := append(os.Environ(), "NODE_NAME="+n.Name, "NODE_LISTEN="+p.address(n.index, portListen),
 		"NODE_DISCOVERY="+p.address(n.index, n.discovery), "NODE_CONFIG="+path, "NODE_CONSOLE="+p.address(n.index, portConsole), "TMPDIR="+tmp)
+	if n.fleet != "" {
+		env = append(env, "NODE_FLEET="+n.fleet)
+	}
 	x, err := p.guard.Start(proc.Spec{Command: deploy.Run, Root: deploy.Root, Env: append(env, p.opt.Env...),
 		Log: p.log(n), Descriptors: p.day.File.Fleet.Sockets})
 	if err != nil {
@@ -251,7 +255,7 @@
 			"has-counter": p.counter != nil, "count-fee": 0.02, "count-wait": 50.0, "inbox-per-s": 0.0},
 		"limits": map[string]any{"connect-timeout": 250.0, "keepalive": f.Server.IdleS * 1000, "send-cap": f.Rules.SendCap, "may-cancel": true,
 			"max-retry-after": f.Clients.MaxRetryAfter, "retry-after": f.Rules.RetryAfter, "second-copies": f.Rules.SecondCopies,
-			"probes": f.Rules.Probes, "peer-messages": f.Rules.Peers, "open-cap": 20000, "multiplex": 1,
+			"probes": f.Rules.Probes, "peer-messages": f.Rules.Peers || f.On.Peers, "open-cap": 20000, "multiplex": 1,
 			"cpu-us-per-request": 0.0, "cpu-us-per-s": f.Fleet.Cores * 1e6},
 		"charges":    map[string]any{"cross-zone": 0.005, "waste": 0.08, "probe": 0.01, "late-fail": 0.08},
 		"reporting":  map[string]any{"source": "off", "names": []string{}},
@@ -270,6 +274,9 @@
 	}
 	rate := float64(len(d.Arrivals)) / d.Length.Seconds()
 	need := len(d.Nodes)*len(d.Servers) + 8*len(d.Nodes) + 4*int(rate) + 200
+	if d.File.On.Peers {
+		need += 5 * len(d.Nodes) * len(d.Nodes)
+	}
 	if uint64(need) > have.Cur {
 		return fmt.Errorf("%s needs some %d descriptors, this process may hold %d", d.Name, need, have.Cur)
 	}
--- /dev/null
+++ b/internal/lab/peers.go
@@ -0,0 +1,151 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"martennotch/internal/lab/link"
+	"martennotch/internal/lab/record"
+)
+
+// Ports by which nodes talk: each node's own, and on its machine one for each other node, where a
+// forwarder stands for the way there.
+const (
+	portPeer    = 7946
+	portPeersAt = 20000
+	seedNodes   = 3 // named in each fleet file
+	lookWithin  = 400 * time.Millisecond
+)
+
+// buildPeers puts a forwarder between each two nodes and writes each node's fleet file.
+func (p *play) buildPeers() error {
+	p.between = make([][]*link.Path, len(p.nodes))
+	for i, n := range p.nodes {
+		via := map[string]string{}
+		p.between[i] = make([]*link.Path, len(p.nodes))
+		for j, m := range p.nodes {
+			if i == j {
+				continue
+			}
+			path := link.NewPath(i, j, p.delay(n.Zone, m.Zone))
+			f, err := path.Forward(p.address(i, portPeersAt+j), p.address(j, portPeer))
+			if err != nil {
+				return err
+			}
+			p.between[i][j], p.forwarders = path, append(p.forwarders, f)
+			via[p.address(j, portPeer)] = f.Address()
+		}
+		if err := p.writeFleet(n, via); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeFleet writes the fleet file of one node.
+func (p *play) writeFleet(n *node, via map[string]string) error {
+	var seeds []string
+	for i := range min(seedNodes, len(p.nodes)) {
+		seeds = append(seeds, p.address(i, portPeer))
+	}
+	regions := map[string][]string{}
+	for _, z := range p.day.Zones {
+		name := fmt.Sprintf("region-%d", z.Region)
+		regions[name] = append(regions[name], z.Name)
+	}
+	raw, err := toml.Marshal(map[string]any{"regions": regions,
+		"peers": map[string]any{"label": p.day.Name, "port": portPeer, "seeds": seeds, "via": via}})
+	if err != nil {
+		return err
+	}
+	n.fleet = filepath.Join(n.dir, "fleet.toml")
+	return os.WriteFile(n.fleet, raw, 0o644)
+}
+
+// peersOf asks a node's console how many others it takes to be live.
+func (p *play) peersOf(ctx context.Context, n *node) (int, bool) {
+	ctx, cancel := context.WithTimeout(ctx, lookWithin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address(n.index, portConsole)+"/metrics", nil)
+	if err != nil {
+		return 0, false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	for in := bufio.NewScanner(resp.Body); in.Scan(); {
+		if text, ok := strings.CutPrefix(in.Text(), "node_peers "); ok {
+			v, err := strconv.Atoi(text)
+			return v, err == nil
+		}
+	}
+	return 0, false
+}
+
+// look notes, now and then, whether the nodes that run see each other and no more.
+func (p *play) look(ctx context.Context) {
+	t := time.NewTicker(sampleEvery)
+	defer t.Stop()
+	for {
+		running, right := 0, 0
+		var run []*node
+		for _, n := range p.nodes {
+			p.mu.Lock()
+			wanted := n.wanted
+			p.mu.Unlock()
+			if wanted {
+				running++
+				run = append(run, n)
+			}
+		}
+		for _, n := range run {
+			if v, ok := p.peersOf(ctx, n); ok && v == running-1 {
+				right++
+			}
+		}
+		at := p.clock()
+		p.book.With(func() {
+			p.book.Views = append(p.book.Views, record.View{At: at, Right: float64(right) / float64(max(1, running))})
+		})
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// cutPeers changes the ways between nodes of one zone and the others.
+func (p *play) cutPeers(zone int, change func(s *link.State, usual time.Duration)) {
+	for i, paths := range p.between {
+		for j, path := range paths {
+			a, b := p.nodes[i].Zone, p.nodes[j].Zone
+			if path != nil && (a == zone) != (b == zone) {
+				path.Change(func(s *link.State) { change(s, p.delay(a, b)) })
+			}
+		}
+	}
+}
+
+// peerTraffic is the bytes that nodes sent each other.
+func (p *play) peerTraffic() (bytes int64) {
+	for _, paths := range p.between {
+		for _, path := range paths {
+			if path != nil {
+				bytes += path.Up.Load() + path.Down.Load()
+			}
+		}
+	}
+	return bytes
+}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -91,6 +91,8 @@
 	Improper []time.Duration // how long improper peers waited for an error or a close
 	Told     map[Pair][]Told
 	Late     []time.Duration // of each send of the generator against its time
+	Views    []View
+	Talk     int64 // bytes that nodes sent each other
 	Probes   int
 	Opened   int64 // connections to rating servers that came up
 	Runs     []Run
@@ -129,6 +131,12 @@
 	})
 }
 
+// View is the part of the running nodes that see all others that run, and no more.
+type View struct {
+	At    time.Duration
+	Right float64
+}
+
 // Run is the life of one process of a node; To is zero while it runs.
 type Run struct {
 	Node     int
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -36,7 +36,8 @@
 		bound float64
 		least bool
 	}
-	for _, l := range []line{{"served", g.Served, true}, {"served_worst_class", g.WorstClass, true}, {"over_units", g.Over, false}, {"back", g.BackWithin, false}} {
+	for _, l := range []line{{"served", g.Served, true}, {"served_worst_class", g.WorstClass, true}, {"over_units", g.Over, false}, {"back", g.BackWithin, false},
+		{"views_back", g.ViewsBack, false}} {
 		got := v.Figures.Get(l.name)
 		switch {
 		case l.bound == 0:
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -76,9 +76,15 @@
 	Class       []Class
 	Plan        []Plan
 	Fault       []Fault
+	On          On
 	Gate        Gate
 }
 
+// On is what a scenario switches on in the nodes; nothing by itself.
+type On struct {
+	Peers bool // nodes talk
+}
+
 // Fleet is the size of a deployment and the limits of a node.
 type Fleet struct {
 	Regions, Zones, Nodes, Servers Range
@@ -215,6 +221,7 @@
 	WorstClass float64 `toml:"worst_class"`
 	Over       float64 // units beyond quota, of those sent, at most; 0 is not held
 	BackWithin float64 `toml:"back_within_s"` // after the last fault, until service is whole; 0 is not held
+	ViewsBack  float64 `toml:"views_back_s"`  // after the last fault, until all nodes see each other; 0 is not held
 }
 
 // kinds are the faults that can be named, with what each needs beyond its time.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -28,6 +28,7 @@
 	Known                   listing
 	Settings                control.Settings
 	Keepalive, Connect      time.Duration // of connections to app servers
+	Fleet                   *Fleet        // what a fleet file switches on; nil is nothing
 }
 
 // LoadConfig reads the JSON file at path.
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -60,6 +60,9 @@
 		"/metrics": {http.MethodGet: func(w http.ResponseWriter, _ *http.Request) {
 			var text bytes.Buffer
 			n.stats.write(&text)
+			if n.peers != nil {
+				writePeers(&text, &n.peers.Counts)
+			}
 			w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 			w.Write(text.Bytes())
 		}},
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"martennotch/internal/peer"
+)
+
+// Fleet is what a fleet file switches on. Without one everything here is off.
+type Fleet struct {
+	Peers   *PeersConfig
+	Regions map[string][]string // the zones of each
+}
+
+// PeersConfig switches on that this node and others talk.
+type PeersConfig struct {
+	Label string
+	Port  int               // on the address where clients connect, for TCP and UDP
+	Seeds []string          // addresses of nodes by which the fleet is joined
+	Via   map[string]string // addresses by which this node reaches others, where they differ from those told
+}
+
+const peerPlaces = 16 // descriptors set apart for talk with others
+
+// LoadFleet reads a fleet file. Its error is one line that names file, key and reason.
+func LoadFleet(path string) (*Fleet, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("fleet file: %w", err)
+	}
+	f := &Fleet{}
+	if err := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields().Decode(f); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) {
+			row, _ := strict.Errors[0].Position()
+			return nil, fmt.Errorf("fleet file %s: line %d: unknown key %s", path, row, strings.Join(strict.Errors[0].Key(), "."))
+		}
+		return nil, fmt.Errorf("fleet file %s: %w", path, err)
+	}
+	if err := f.check(); err != nil {
+		return nil, fmt.Errorf("fleet file %s: %w", path, err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) check() error {
+	of := map[string]string{}
+	for region, zones := range f.Regions {
+		for _, z := range zones {
+			if of[z] != "" {
+				return fmt.Errorf("regions: zone %s is in %s and %s", z, of[z], region)
+			}
+			of[z] = region
+		}
+	}
+	p := f.Peers
+	if p == nil {
+		return nil
+	}
+	if p.Label == "" {
+		return errors.New("peers.label: there is none")
+	}
+	if p.Port < 1 || p.Port > 65535 {
+		return fmt.Errorf("peers.port: %d is no port", p.Port)
+	}
+	for i, s := range p.Seeds {
+		if err := checkAddress(s); err != nil {
+			return fmt.Errorf("peers.seeds: %d: %w", i, err)
+		}
+	}
+	for a, b := range p.Via {
+		if err := errors.Join(checkAddress(a), checkAddress(b)); err != nil {
+			return fmt.Errorf("peers.via: %s: %s", a, strings.ReplaceAll(err.Error(), "\n", "; "))
+		}
+	}
+	return nil
+}
+
+func checkAddress(a string) error {
+	host, port, err := net.SplitHostPort(a)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 || host == "" {
+		return fmt.Errorf("%q is no address", a)
+	}
+	return nil
+}
+
+// region gives the region of a zone, or "".
+func (f *Fleet) region(zone string) string {
+	for region, zones := range f.Regions {
+		for _, z := range zones {
+			if z == zone {
+				return region
+			}
+		}
+	}
+	return ""
+}
+
+// startPeers lets the node talk with others where the fleet file has it and the settings allow it.
+func startPeers(cfg Config) (*peer.Peers, error) {
+	if cfg.Fleet == nil || cfg.Fleet.Peers == nil {
+		return nil, nil
+	}
+	if !cfg.Settings.PeerMessages {
+		slog.Warn("peers stay off: the settings refuse them")
+		return nil, nil
+	}
+	host, _, err := net.SplitHostPort(cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	f := cfg.Fleet.Peers
+	return peer.Start(peer.Config{Label: f.Label, Name: cfg.Name, Zone: cfg.Settings.Zone, Region: cfg.Fleet.region(cfg.Settings.Zone),
+		Program: program(), Bind: net.JoinHostPort(host, strconv.Itoa(f.Port)), Seeds: f.Seeds, Via: f.Via, Seed: cfg.Seed}, slog.Default())
+}
+
+// program names the version of this program: the commit that it was built from, where known.
+func program() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(12, len(s.Value))]
+		}
+	}
+	return info.Main.Version
+}
+
+// writePeers gives the figures of the membership.
+func writePeers(w io.Writer, c *peer.Counts) {
+	for _, m := range []struct {
+		name, kind, help string
+		value            *atomic.Int64
+	}{
+		{"node_peers", "gauge", "Other nodes that are live.", &c.Live},
+		{"node_peer_joins_total", "counter", "Members that joined.", &c.Joins},
+		{"node_peer_deaths_total", "counter", "Members found dead.", &c.Deaths},
+		{"node_peer_leaves_total", "counter", "Members that left.", &c.Leaves},
+		{"node_peer_refused_total", "counter", "Members refused beyond the most remembered.", &c.Refused},
+		{"node_peer_conflicts_total", "counter", "Names used by two nodes.", &c.Conflicts},
+		{"node_peer_spoilt_total", "counter", "Messages that could not be used.", &c.Spoilt},
+		{"node_peer_sent_bytes_total", "counter", "Bytes of packets sent to others.", &c.SentBytes},
+		{"node_peer_streams_total", "counter", "Streams opened to others.", &c.Streams},
+	} {
+		writeFigure(w, m.name, m.kind, m.help, m.value)
+	}
+}
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestBadFleetFilesAreNamedInOneLine(t *testing.T) {
+	good := "[peers]\nlabel = \"x\"\nport = 7946\nseeds = [\"127.0.0.1:7946\"]\n"
+	for text, want := range map[string]string{
+		"":                                   "",
+		good:                                 "",
+		"[regions]\ngulf = [\"a\", \"b\"]\n": "",
+		"speed = 1":                          "line 1: unknown key speed",
+		"[peers]\nport = 7946":               "peers.label",
+		"[peers]\nlabel = \"x\"":             "peers.port: 0",
+		good + "via = {\"a\" = \"b:1\"}":     "peers.via",
+		strings.Replace(good, "127.0.0.1:7946", "127.0.0.1:99999", 1): "peers.seeds",
+		"[regions]\ng = [\"a\"]\nh = [\"a\"]\n":                       "zone a is in",
+		"[peers":                                                      "fleet file",
+	} {
+		path := filepath.Join(t.TempDir(), "fleet.toml")
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		switch _, err := LoadFleet(path); {
+		case want == "" && err != nil:
+			t.Errorf("%q: %v", text, err)
+		case want != "" && (err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n")):
+			t.Errorf("%q: error %v, wanted one line with %q", text, err, want)
+		}
+	}
+}
+
+// A fleet file alone does not make nodes talk: the settings have to allow it.
+func TestSettingsThatRefusePeersKeepThemOff(t *testing.T) {
+	cfg, err := LoadConfig("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Fleet = &Fleet{Peers: &PeersConfig{Label: "x", Port: 1}}
+	if p, err := startPeers(cfg); p != nil || err != nil {
+		t.Errorf("peers %v, %v against the settings", p, err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"martennotch/control"
+	"martennotch/internal/peer"
 )
 
 const (
@@ -38,6 +39,7 @@
 	console   *console      // nil is none
 	stats     *stats
 	drainer   *drainer
+	peers     *peer.Peers // nil is that nodes don't talk
 
 	dir         string // that a process which takes this one's place shares; "" is none
 	discoveryAt string
@@ -50,6 +52,9 @@
 	if cfg.Console != "" {
 		apart += consolePlaces
 	}
+	if cfg.Fleet != nil && cfg.Fleet.Peers != nil {
+		apart += peerPlaces
+	}
 	socks := newSockets(cfg.Sockets, apart)
 	counts := newStats(cfg.Settings.Classes)
 	memory := cfg.MemoryMB
@@ -81,6 +86,11 @@
 			return nil, err
 		}
 	}
+	if n.peers, err = startPeers(cfg); err != nil {
+		cancel()
+		tcp.Close()
+		return nil, err
+	}
 	n.discovery = newWatcher(cfg.Discovery, cfg.Known, cfg.Settings.GroupSize, cfg.Seed, func(news listing) {
 		kind := control.Patch
 		if news.All {
@@ -102,6 +112,9 @@
 func (n *Node) Reload(cfg Config) {
 	slog.Info("reloading", "discovery", cfg.Discovery)
 	n.discovery.move(cfg.Discovery)
+	if n.peers != nil && cfg.Fleet != nil && cfg.Fleet.Peers != nil {
+		n.peers.SetSeeds(cfg.Fleet.Peers.Seeds)
+	}
 }
 
 // learn tells the loop's side of a list; with a server to send to the node is ready.
@@ -157,6 +170,10 @@
 	parts.Go(func() { served <- srv.Serve(n.listener) })
 	slog.Info("serving", "listen", n.Addr())
 
+	if n.peers != nil {
+		// The others hear of a planned end at its beginning, and of a failure as of a death.
+		parts.Go(func() { n.part(ctx, life) })
+	}
 	select {
 	case <-ctx.Done():
 	case <-n.loop.ended:
@@ -168,6 +185,19 @@
 	return n.drain(srv, stop)
 }
 
+// part takes leave of the other nodes when ctx ends, or ends the talk with life.
+func (n *Node) part(ctx, life context.Context) {
+	end := n.peers.Close
+	select {
+	case <-ctx.Done():
+		end = n.peers.Leave
+	case <-life.Done():
+	}
+	if err := end(); err != nil {
+		slog.Warn("peers: leaving", "err", err)
+	}
+}
+
 // report writes the node's counts to the log now and then, until ctx ends.
 func (n *Node) report(ctx context.Context) {
 	t := time.NewTicker(reportEvery)
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -72,6 +72,10 @@
 		{"node_hosts_listed", "gauge", "Rating servers in the list.", &s.listed},
 		{"node_hosts_down", "gauge", "Listed rating servers that are avoided now.", &s.down},
 	} {
-		fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n%s %d\n", m.name, m.help, m.name, m.kind, m.name, m.value.Load())
+		writeFigure(w, m.name, m.kind, m.help, m.value)
 	}
 }
+
+func writeFigure(w io.Writer, name, kind, help string, value *atomic.Int64) {
+	fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n%s %d\n", name, help, name, kind, name, value.Load())
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,157 @@
+package peer
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"martennotch/internal/lab/link"
+)
+
+const patience = 60 * time.Second
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func start(t *testing.T, cfg Config) *Peers {
+	t.Helper()
+	if cfg.Label == "" {
+		cfg.Label = "test"
+	}
+	if cfg.Bind == "" {
+		cfg.Bind = "127.0.0.1:0"
+	}
+	p, err := Start(cfg, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// until waits for a state of the membership; the library's timers decide how long it takes.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+func sees(p *Peers, n int) func() bool {
+	return func() bool { return p.Counts.Live.Load() == int64(n) }
+}
+
+// Nodes join by one seed; one that leaves is gone at once and by its own word, one that dies is
+// found dead, and one that comes back under its name supersedes its dead self.
+func TestMembersComeLeaveDieAndReturn(t *testing.T) {
+	t.Parallel()
+	var all []*Peers
+	for i := range 4 {
+		cfg := Config{Name: fmt.Sprintf("n%d", i), Zone: "hall-a", Region: "gulf", Seed: uint64(i)}
+		if i > 0 {
+			cfg.Seeds = []string{all[0].Address()}
+		}
+		all = append(all, start(t, cfg))
+	}
+	for _, p := range all {
+		until(t, "all to see all", sees(p, 3))
+	}
+	members, epoch := all[1].Live()
+	if m := members[0]; m.Name != "n0" || m.Zone != "hall-a" || m.Region != "gulf" || m.State != StateVersion || m.Incarnation == 0 {
+		t.Errorf("n1 sees n0 as %+v", m)
+	}
+	if err := all[3].Leave(); err != nil {
+		t.Error(err)
+	}
+	until(t, "a leave", func() bool { return all[0].Counts.Leaves.Load() == 1 && all[1].Counts.Leaves.Load() == 1 })
+	address := all[2].Address()
+	all[2].Close()
+	until(t, "a death", func() bool { return all[0].Counts.Deaths.Load() == 1 && all[1].Counts.Deaths.Load() == 1 })
+	back := start(t, Config{Name: "n2", Zone: "hall-b", Bind: address, Seeds: []string{all[0].Address()}})
+	defer back.Close()
+	for _, p := range all[:2] {
+		until(t, "the return", func() bool {
+			m, _ := p.Live()
+			return len(m) == 2 && m[1].Name == "n2" && m[1].Zone == "hall-b"
+		})
+	}
+	if _, now := all[1].Live(); now <= epoch {
+		t.Errorf("epoch %d after %d", now, epoch)
+	}
+	all[0].Close()
+	all[1].Close()
+}
+
+// What is no word of the own fleet changes nothing: other labels, spoilt packets, silent streams.
+func TestStrangersAreNotHeard(t *testing.T) {
+	t.Parallel()
+	a := start(t, Config{Name: "a"})
+	defer a.Close()
+	stranger := start(t, Config{Name: "b", Label: "another", Seeds: []string{a.Address()}})
+	defer stranger.Close()
+	c, err := net.Dial("udp", a.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, text := range []string{"", "\x00", "\xff\xff\xff", "GET / HTTP/1.1\r\n\r\n"} {
+		c.Write([]byte(text))
+	}
+	until(t, "spoilt messages to be counted", func() bool { return a.Counts.Spoilt.Load() >= 2 })
+	s, err := net.Dial("tcp", a.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	from := time.Now()
+	s.SetReadDeadline(from.Add(patience))
+	if _, err := s.Read(make([]byte, 1)); err == nil || time.Since(from) > streamWithin+time.Second {
+		t.Errorf("a silent stream is ended after %v: %v", time.Since(from), err)
+	}
+	if n := a.Counts.Live.Load(); n != 0 {
+		t.Errorf("%d strangers are members", n)
+	}
+}
+
+// Two sides of a cut link take each other for dead and find each other again when it is whole,
+// also long after.
+func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
+	ports := [2]string{free(t), free(t)}
+	path := [2]*link.Path{link.NewPath(0, 1, 0), link.NewPath(1, 0, 0)}
+	var all [2]*Peers
+	for i := range all {
+		f, err := path[i].Forward("127.0.0.1:0", ports[1-i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		all[i] = start(t, Config{Name: fmt.Sprintf("n%d", i), Bind: ports[i], Seeds: []string{ports[1-i]},
+			Via: map[string]string{ports[1-i]: f.Address()}, Seed: uint64(i)})
+		defer all[i].Close()
+	}
+	both := func(n int) func() bool { return func() bool { return sees(all[0], n)() && sees(all[1], n)() } }
+	until(t, "both to see each other", both(1))
+	for _, p := range path {
+		p.Change(func(s *link.State) { s.HoldUp, s.HoldDown = true, true })
+	}
+	until(t, "both to be alone", both(0))
+	for _, p := range path {
+		p.Change(func(s *link.State) { s.HoldUp, s.HoldDown = false, false })
+	}
+	until(t, "both to be together again", both(1))
+}
+
+// free gives an address that nobody listens at.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
