--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -52,7 +52,7 @@
 	common
 	File string   `arg:"" help:"The scenario."`
 	Seed uint64   `help:"Draws the deployment and its day." default:"1"`
-	Set  []string `help:"Set a key of the scenario, as fleet.nodes=6." placeholder:"KEY=VALUE"`
+	Set  []string `help:"Set a key of the scenario, as fleet.nodes=6." sep:"none" placeholder:"KEY=VALUE"`
 	JSON string   `help:"Write every figure to this file." type:"path"`
 }
 
@@ -61,8 +61,8 @@
 	File           string   `arg:"" help:"The scenario."`
 	Plays          int      `help:"Plays of each side on each seed." default:"1"`
 	Seeds          string   `help:"Seeds, as 1..5." default:"1..3"`
-	With           []string `help:"Set a key on the one side." placeholder:"KEY=VALUE"`
-	Against        []string `help:"Set a key on the other side." placeholder:"KEY=VALUE"`
+	With           []string `help:"Set a key on the one side." sep:"none" placeholder:"KEY=VALUE"`
+	Against        []string `help:"Set a key on the other side." sep:"none" placeholder:"KEY=VALUE"`
 	AgainstProgram string   `help:"Another checkout whose program is the other side." type:"existingdir"`
 }
 
