--- a/control/api.go
+++ b/control/api.go
@@ -164,7 +164,15 @@
 	SetStart int // index of the first of them
 	Repeat   bool
 	Write    bool
-	Long     bool // its body goes on as it comes: Written tells when it is whole
+	Long     bool    // its body goes on as it comes: Written tells when it is whole
+	Shared   *Shared // nil is nothing that may be used
+}
+
+// Shared is what the one that keeps a customer's store for all gateways told of it, of late.
+type Shared struct {
+	Units float64       // that it holds, less what was sent from here since
+	Least bool          // it holds that much at least
+	Age   time.Duration // since it was right
 }
 
 // Written tells that an attempt of a Long request is written whole: only now its server begins
--- a/control/control.go
+++ b/control/control.go
@@ -68,6 +68,8 @@
 	burstPart    = 0.5              // part of the depth that the chance grants over toldAge
 	toldAge      = 20.0             // s after which a reading has lost 63% of its weight
 	coverLeast   = 0.3              // part of the periods told from which the store goes before the chance
+	sharedMore   = 2.5              // times its units more that a store must hold where many are told of it
+	sharedPart   = 0.7              // part of the depth that is enough in any case
 	custKeep     = time.Minute      // the longest that an idle customer is remembered, if its stores are full
 	custMost     = 20000            // customers from half of which the idle are forgotten anyway
 	latencyGain  = 0.2              // gain of a server's latency estimate
@@ -297,11 +299,14 @@
 		return false
 	}
 	if p.Rate > 0 {
-		left := q.level - q.queued
-		if left >= math.Max(storeHigh*p.Depth, units) && c.covered(q) {
+		left, need := q.level-q.queued, math.Max(storeHigh*p.Depth, units)
+		if q.shared {
+			need = SharedNeed(p.Depth, units, q.few())
+		}
+		if left >= need && c.covered(q) {
 			return true
 		}
-		if left < (storeLow+(1-storeLow)*(1-q.few()))*units {
+		if q.shared || left < (storeLow+(1-storeLow)*(1-q.few()))*units {
 			c.tally.store++
 			return false
 		}
@@ -315,13 +320,18 @@
 	return false
 }
 
+// SharedNeed is what a store must hold, as its owner tells many: each may send one on by the same word.
+func SharedNeed(depth, units, few float64) float64 {
+	return math.Min(units*(1+sharedMore*(1-few)), sharedPart*depth)
+}
+
 // covered tells whether enough of the periods of a customer's use are told here, of those that
 // could be since it was first seen: a gateway that has just started is not held to have missed
 // what was before it.
 func (c *Controller) covered(q *customer) bool {
 	could := toldAge * (1 - math.Exp(-(c.now-q.seenFrom).Seconds()/toldAge))
 	least := 1 - (1-coverLeast)*q.few()
-	return q.cover*math.Exp(-(c.now-q.toldAt).Seconds()/toldAge) > least*could
+	return q.shared || q.cover*math.Exp(-(c.now-q.toldAt).Seconds()/toldAge) > least*could
 }
 
 // chanceNow is the chance of refusal, 1-(1-d')*100/p with p over the latest readings that amount
@@ -356,10 +366,9 @@
 }
 
 // few is 1 for a customer that comes through so few gateways that each is told of most of its use,
-// and falls to nothing with their number. Guards, where many know little each, against a belief
-// that one try of some units moves like as many tries, a store kept of other gateways' use that
-// nobody tells of, and the parts refused being too small as most gateways have not been told yet:
-// those that have refuse more.
+// and falls to nothing with their number. Guards, where many know little each, against a belief that
+// one try of some units moves like many, a store kept of use that nobody tells of, and parts refused
+// that are too small as most have not been told yet.
 func (q *customer) few() float64 { return math.Min(1, fewGateways/q.spread) }
 
 // draw takes a request's first send from the customer's stores.
@@ -499,6 +508,7 @@
 		return
 	}
 	q := c.customerOf(p, e.Customer, e.Spread)
+	q.hear(e.Shared)
 	waited := c.waited(e, k)
 	if !c.admits(q, k, e.Units, waited+seconds(c.latency) >= k.Aim) {
 		c.refuse(e.ID)
@@ -543,10 +553,9 @@
 	return k.Deadline - e.TTL
 }
 
-// hasty tells whether a try with an unusual time is the first of a client that gives its tries
-// up sooner than most. Guards against taking all that a hasty client asks for later tries, which
-// could only be late: what is left to later tries varies with the answers before them, but for
-// those that a refusal, given at once or after the wait for a turn, told when to come back.
+// hasty tells whether a try with an unusual time is the first of a client that gives its tries up
+// sooner than most, and no later try, which could only be late: what is left to those varies with the
+// answers before them, but where a refusal, at once or after the wait for a turn, advised a time.
 func (c *Controller) hasty(u *usualTTL, ttl time.Duration, k *Class) bool {
 	back, wait := k.Deadline-ttl-c.advice(), time.Duration(openAim*float64(k.Aim))
 	if ttl > u.ttl || back >= 0 && back < wait+tick {
@@ -678,9 +687,8 @@
 // ---- server choice ----
 
 // pick is the server of least expected wait that the rules allow; nil is to wait. Guards against a
-// herd that takes the same few servers, as each of it holds too little at one to tell how busy it
-// is: while some are cold it shares them by chance, as the least of costs each times an exponential
-// draw falls on a server as often as its speed and warmth are of the sum.
+// herd that takes the same few servers, as each knows too little of how busy they are: while some are
+// cold it shares them by chance, each as often as its speed and warmth are of the sum.
 func (c *Controller) pick(r *request) *server {
 	var best *server
 	bestCost := math.Inf(1)
@@ -742,11 +750,10 @@
 	return cost * (1 + failCost*f*f) * (1 + tieNoise*c.rng.Float64())
 }
 
-// home tells whether a server is one of those that this gateway turns to first: each server is so
-// for homeGateways of the group, in turn by a number of its own, so that the loads are even and a
-// change of the list moves no other. Guards against many gateways that each open connections to
-// every server, and know next to nothing of any. One that is slow or full still costs more than
-// others elsewhere.
+// home tells whether a server is one of those that this gateway turns to first: each is so for
+// homeGateways of the group, in turn by a number of its own, so that the loads are even and a change
+// of the list moves no other. Guards against many gateways that each open connections to every
+// server, and know next to nothing of any.
 func (c *Controller) home(s *server) bool {
 	key := s.Server // given in turn, so that each gateway has as many homes
 	if s.coldRamp && s.Key != 0 {
@@ -819,7 +826,8 @@
 		return false
 	}
 	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
-	bears := c.set.FallMultiple * w * c.warmRate()
+	warm := c.count(func(s *server) bool { return s.usable() && !s.coldRamp })
+	bears := c.set.FallMultiple * w * c.servedRate / math.Max(1, warm)
 	rate := math.Max(coldSafety*bears, 1/float64(c.set.GroupSize))
 	if c.herd() { // too little passes here to tell what a server does: it holds so many at a time
 		does := groupLeast / math.Max(c.idle, tick.Seconds()) // requests a second, warm, for all
@@ -849,11 +857,6 @@
 	return s.tokens >= units
 }
 
-// warmRate is the units a second that a warm server does for this gateway.
-func (c *Controller) warmRate() float64 {
-	return c.servedRate / math.Max(1, c.count(func(s *server) bool { return s.usable() && !s.coldRamp }))
-}
-
 // strike counts a failure that speaks against the server.
 func (c *Controller) strike(s *server, n int) {
 	s.strikes += n
@@ -1145,10 +1148,9 @@
 	return next
 }
 
-// estimate is one RLS step with directional forgetting. The term printed in (4)
-// does not have matching units; this is Kulhavy's form (the paper's [9]), in which
-// the information grows by (lambda - (1-lambda)/r) phi phi', r = phi' P phi, and
-// so is lost only in the direction that new data come from.
+// estimate is one RLS step with directional forgetting. The term printed in (4) does not have
+// matching units; this is Kulhavy's form (the paper's [9]): the information grows by (lambda -
+// (1-lambda)/r) phi phi', r = phi' P phi, and is lost only where new data come from.
 func (l *shareLaw) estimate(y []float64) {
 	var pphi, e mat.VecDense
 	pphi.MulVec(l.p, l.phi)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1016,3 +1016,43 @@
 		}
 	}
 }
+
+// What the store's owner tells goes before what is reckoned here; where it tells nothing, nothing
+// changes. Of a store that many are told of at once more must be there.
+func TestSharedStoreDecides(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		told   *Shared
+		own    float64 // reckoned here
+		spread int
+		pass   bool
+	}{
+		{"nothing told, full here", nil, 20, 60, true},
+		{"nothing told, empty here", nil, 0, 60, false},
+		{"told empty, full here", &Shared{Units: 0}, 20, 60, false},
+		{"told enough, empty here", &Shared{Units: 15}, 0, 60, true},
+		{"told one request's, to many", &Shared{Units: 2}, 20, 60, false},
+		{"told one request's, to few", &Shared{Units: 2}, 20, 2, true},
+		{"told not low, empty here", &Shared{Units: 14, Least: true}, 0, 60, true},
+	} {
+		s := settings()
+		s.Plans[0].Rate, s.Plans[0].Depth = 1, 20
+		c, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Handle(time.Hour, List{Kind: Stale, Members: []Member{{Server: 1, Zone: "z1"}}})
+		q := c.customerOf(c.plans[0], "x", x.spread)
+		q.level, q.metered = x.own, true
+		passed := false
+		for _, a := range c.Handle(time.Hour, Request{ID: "r", Class: "job", Plan: c.plans[0].Name, Customer: "x", TTL: 5 * time.Second,
+			Units: 1, Spread: x.spread, Shared: x.told}) {
+			if _, ok := a.(Send); ok {
+				passed = true
+			}
+		}
+		if passed != x.pass {
+			t.Errorf("%s: passed %v", x.name, passed)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -78,6 +79,7 @@
 	openHit        bool
 	chance, carry  float64
 	metered        bool
+	shared         bool    // the level is what the store's owner told
 	base, lastUsed float64 // units a second taken to go on elsewhere; units of the last read period
 	toldAt         time.Duration
 	tries          float64 // units asked here of late
@@ -308,6 +310,16 @@
 	return now - ((now-phase)%binsPeriod+binsPeriod)%binsPeriod
 }
 
+// hear takes what is told of a customer's store in place of what is reckoned here.
+func (q *customer) hear(s *Shared) {
+	if q.shared = s != nil; !q.shared {
+		return
+	}
+	if !s.Least || s.Units > q.level {
+		q.level = math.Min(s.Units, q.plan.Depth)
+	}
+}
+
 func (c *Controller) act(a Action) { c.out = append(c.out, a) }
 
 func (c *Controller) wake(r *request, after time.Duration) {
--- /dev/null
+++ b/fleet/share/exchange_test.go
@@ -0,0 +1,407 @@
+package share
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	plan     = 1
+	customer = 42
+)
+
+var quota = Quota{Rate: 5, Depth: 40}
+
+// fataler is a test or a property.
+type fataler interface{ Fatal(...any) }
+
+// fleet is some exchanges, each with a clock of its own, and the messages between them.
+type fleet struct {
+	now   time.Duration
+	x     []*Exchange
+	skew  []time.Duration
+	set   Set
+	alive []bool
+	air   []Out // in flight
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{set: Set{0, n}}
+	for i := range n {
+		f.skew = append(f.skew, time.Duration(i)*time.Hour)
+		f.alive = append(f.alive, true)
+		f.x = append(f.x, NewExchange(Config{Self: i, Group: n, Life: uint64(i + 1), Quotas: map[uint32]Quota{plan: quota}, Customers: 1000}, f.skew[i]))
+	}
+	f.tellLive(func(a, b int) bool { return true })
+	return f
+}
+
+// tellLive tells each node which others it sees.
+func (f *fleet) tellLive(sees func(a, b int) bool) {
+	for i, x := range f.x {
+		var others []Node
+		for j := range f.x {
+			if i != j && f.alive[j] && sees(i, j) {
+				others = append(others, Node{j, uint64(j + 1)})
+			}
+		}
+		x.Live(f.at(i), others)
+	}
+}
+
+func (f *fleet) at(i int) time.Duration { return f.now + f.skew[i] }
+
+func (f *fleet) send(i int, units float64) { f.x[i].Sent(f.at(i), customer, plan, f.set, units, false) }
+
+func (f *fleet) level(i int) (Known, bool) { return f.x[i].Level(f.at(i), customer, plan, f.set) }
+
+func (f *fleet) owner() int {
+	o, _ := Owner(customer, f.set, len(f.x), func(i int) bool { return f.alive[i] })
+	return o
+}
+
+// flush lets the nodes send what is due.
+func (f *fleet) flush() {
+	for i, x := range f.x {
+		if when, ok := x.Wake(); ok && when <= f.at(i) && f.alive[i] {
+			f.air = append(f.air, x.Flush(f.at(i))...)
+		}
+	}
+}
+
+// hear delivers a message, as a copy, by way of its bytes.
+func (f *fleet) hear(t fataler, o Out) {
+	raw, err := o.Message.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := Decode(raw, len(f.x))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.alive[o.To] {
+		f.x[o.To].Hear(f.at(o.To), m)
+	}
+}
+
+// run lets time pass; carry gives how often each message arrives.
+func (f *fleet) run(t fataler, d time.Duration, carry func(from, to int) int) {
+	const step = 10 * time.Millisecond
+	for end := f.now + d; f.now < end; f.now += step {
+		f.flush()
+		air := f.air
+		f.air = nil
+		for _, o := range air {
+			for range carry(o.Message.From, o.To) {
+				f.hear(t, o)
+			}
+		}
+	}
+}
+
+// taken is what the owner has counted.
+func (f *fleet) taken(owner int) float64 {
+	if e := f.x[owner].owned[customer]; e != nil {
+		return e.store.taken
+	}
+	return 0
+}
+
+func all(int, int) int { return 1 }
+
+// Each use is counted once, whatever is lost, doubled or comes late, and in the end by one node.
+func TestUsesAreCountedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 6).Draw(t, "nodes"))
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		sent, owner := 0.0, f.owner()
+		for range 40 {
+			units := float64(1 + rng.IntN(5))
+			f.send(rng.IntN(len(f.x)), units)
+			sent += units
+			f.run(t, time.Duration(10+rng.IntN(100))*time.Millisecond, func(int, int) int { return rng.IntN(3) })
+		}
+		f.run(t, 2*time.Second, all)
+		if got := f.taken(owner); got != sent {
+			t.Fatalf("%g units counted, %g sent", got, sent)
+		}
+	})
+}
+
+// What was told is not used beyond its life, counted from before the owner was cut off, whatever
+// the clocks; the others go on.
+func TestNothingOldIsUsed(t *testing.T) {
+	for nodes := 3; nodes <= 9; nodes += 3 {
+		f := newFleet(nodes)
+		owner := f.owner()
+		for range 30 {
+			for i := range f.x {
+				f.send(i, 1)
+			}
+			f.run(t, 100*time.Millisecond, all)
+		}
+		for i := range f.x {
+			if k, ok := f.level(i); !ok || k.Units > quota.Depth*lowPart+1 {
+				t.Fatalf("%d nodes, node %d: told %+v, %v of a store that is empty", nodes, i, k, ok)
+			}
+		}
+		cut := f.now
+		apart := func(a, b int) int {
+			if a == owner || b == owner {
+				return 0
+			}
+			return 1
+		}
+		for f.now < cut+3*Life {
+			f.run(t, 50*time.Millisecond, apart)
+			for i := range f.x {
+				if k, ok := f.level(i); ok && i != owner && f.now > cut+Life+10*time.Millisecond {
+					t.Fatalf("%d nodes: %v after the cut node %d is told %+v", nodes, f.now-cut, i, k)
+				}
+			}
+		}
+	}
+}
+
+// An owner that stood still knows that what it holds is old: it says nothing of it until it has heard.
+func TestOwnerThatStoodStillWaits(t *testing.T) {
+	f := newFleet(4)
+	owner := f.owner()
+	for range 10 {
+		f.send((owner+1)%4, 1)
+		f.run(t, 50*time.Millisecond, all)
+	}
+	f.alive[owner] = false // it is stopped: what is sent to it waits in its sockets, and is lost here
+	f.run(t, 3*time.Second, all)
+	f.alive[owner] = true
+	for _, o := range f.x[owner].Flush(f.at(owner)) {
+		if len(o.Message.Levels)+len(o.Message.Owners) > 0 {
+			t.Errorf("just woken, it tells %+v", o.Message)
+		}
+	}
+	if k, ok := f.level(owner); ok {
+		t.Errorf("just woken, it decides by %+v", k)
+	}
+	f.run(t, 2*time.Second, all)
+	if _, ok := f.level(owner); !ok {
+		t.Error("it does not come back")
+	}
+}
+
+// A partition: the side without most of the set uses nothing told, and what its nodes let pass by
+// what they knew when they were cut off is bounded by the formula of docs/design.md: what a store
+// holds and Life refills, for each of them. When it is whole again there is one store.
+func TestPartitionGrantsNoMoreThanItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(3, 9).Draw(t, "nodes")
+		f := newFleet(nodes)
+		side := make([]bool, nodes)
+		few := rapid.IntRange(1, (nodes-1)/2).Draw(t, "few")
+		for _, i := range rapid.Permutation(seq(nodes)).Draw(t, "order")[:few] {
+			side[i] = true
+		}
+		warm := time.Duration(rapid.IntRange(200, 1500).Draw(t, "warm")) * time.Millisecond
+		for f.now < warm {
+			f.send(rapid.IntRange(0, nodes-1).Draw(t, "at"), 1)
+			f.run(t, 50*time.Millisecond, all)
+		}
+		cut, passed := f.now, 0.0
+		found := time.Duration(rapid.IntRange(500, 4000).Draw(t, "found")) * time.Millisecond // until the membership sees it
+		apart := func(a, b int) int {
+			if side[a] != side[b] {
+				return 0
+			}
+			return 1
+		}
+		for told := false; f.now < cut+6*time.Second; {
+			if !told && f.now >= cut+found {
+				told = true
+				f.tellLive(func(a, b int) bool { return side[a] == side[b] })
+			}
+			for i := range f.x { // as greedy as can be
+				for k, ok := f.level(i); side[i] && ok && k.Units >= 1; k, ok = f.level(i) {
+					if f.now > cut+Life+20*time.Millisecond && !side[f.owner()] {
+						t.Fatalf("node %d decides by %+v %v after it was cut off", i, k, f.now-cut)
+					}
+					f.send(i, 1)
+					passed++
+				}
+			}
+			f.run(t, 50*time.Millisecond, apart)
+		}
+		owned := 0.0 // an owner on that side goes on until it sees that it is alone
+		if side[f.owner()] {
+			owned = quota.Rate * (found + time.Second).Seconds()
+		}
+		if most := float64(few)*(quota.Depth+quota.Rate*Life.Seconds()) + owned; passed > most {
+			t.Fatalf("%g units passed on the side of %d of %d nodes, the formula has %g", passed, few, nodes, most)
+		}
+		f.tellLive(func(a, b int) bool { return true })
+		f.run(t, 2*time.Second, all)
+		stores := 0
+		for _, x := range f.x {
+			stores += len(x.owned)
+		}
+		if stores > 1 {
+			t.Fatalf("%d stores 2 s after the partition has healed", stores)
+		}
+	})
+}
+
+func seq(n int) (s []int) {
+	for i := range n {
+		s = append(s, i)
+	}
+	return s
+}
+
+// A store goes with its owner when that leaves, and its successor knows what it held.
+func TestStoreGoesToTheNextOwner(t *testing.T) {
+	f := newFleet(5)
+	owner := f.owner()
+	for range 20 {
+		f.send((owner+1)%5, 1)
+		f.run(t, 50*time.Millisecond, all)
+	}
+	held, _ := f.level(owner)
+	f.x[owner].Leave(f.at(owner))
+	f.flush()
+	f.alive[owner] = false
+	f.tellLive(func(a, b int) bool { return true })
+	f.run(t, 200*time.Millisecond, all)
+	next := f.x[f.owner()]
+	e := next.owned[customer]
+	if e == nil {
+		t.Fatal("the next owner has no store")
+	}
+	if got := e.store.Level(f.at(f.owner())); got > held.Units+quota.Rate+0.5 || got < held.Units-0.5 {
+		t.Errorf("the store held %g, and 0.2 s later %g at its next owner", held.Units, got)
+	}
+}
+
+// Every interleaving of three nodes' messages to a depth, each lost, doubled or taken out of turn,
+// with a pause between: nothing is counted twice, and a double count that is planted is found.
+func TestEveryInterleaving(t *testing.T) {
+	for _, planted := range []bool{false, true} {
+		states, twice := explore(t, 8, planted)
+		if planted != twice {
+			t.Errorf("planted %v: counted twice %v in %d states", planted, twice, states)
+		}
+		t.Logf("planted %v: %d states", planted, states)
+	}
+}
+
+// explore plays all sequences of choices, each anew from the start.
+func explore(t *testing.T, depth int, planted bool) (states int, twice bool) {
+	const sent = 1 + 2 + 4
+	var choices []int
+	for {
+		f := newFleet(3)
+		owner := f.owner()
+		f.send((owner+1)%3, 1)
+		f.send((owner+2)%3, 2)
+		f.run(t, batch, all) // both are on their way, or there
+		f.send((owner+1)%3, 4)
+		width := make([]int, depth)
+		for d := range depth {
+			// Deliver, double or lose the first or the last message, or let time pass.
+			options := 1
+			if len(f.air) > 0 {
+				options += 3
+			}
+			if len(f.air) > 1 {
+				options += 3
+			}
+			if width[d] = options; d >= len(choices) {
+				choices = append(choices, 0)
+			}
+			choose(t, f, choices[d], planted)
+			states++
+			if f.taken(owner) > sent {
+				return states, true
+			}
+		}
+		// The next sequence: the last choice that has another.
+		d := depth - 1
+		for ; d >= 0 && choices[d]+1 >= width[d]; d-- {
+		}
+		if d < 0 {
+			return states, false
+		}
+		choices = append(choices[:d:d], choices[d]+1)
+	}
+}
+
+func choose(t *testing.T, f *fleet, choice int, planted bool) {
+	if choice == 0 {
+		f.now += resend / 2
+		f.flush()
+		return
+	}
+	i := 0
+	if choice > 3 {
+		i, choice = len(f.air)-1, choice-3
+	}
+	o := f.air[i]
+	if choice != 2 { // a doubled one is still on its way
+		f.air = append(f.air[:i:i], f.air[i+1:]...)
+	}
+	if choice != 3 {
+		if planted {
+			for _, l := range f.x[o.To].links {
+				l.counted = 0 // forgets what it has counted
+			}
+		}
+		f.hear(t, o)
+	}
+}
+
+// The bounds that are broken on purpose: customers beyond the most are forgotten, a message never
+// outgrows a datagram, and a fleet at rest says nothing.
+func TestBoundsHold(t *testing.T) {
+	f := newFleet(20)
+	for c := range uint64(3000) {
+		for i := range 2 {
+			f.x[i].Sent(f.at(i), c, plan, f.set, 39, false)
+		}
+		if c%100 == 0 {
+			f.run(t, 100*time.Millisecond, all) // hear fails for a message that is too long
+		}
+	}
+	for i, x := range f.x {
+		if n := len(x.young) + len(x.old); n > x.cfg.Customers {
+			t.Errorf("node %d remembers %d customers of %d at most", i, n, x.cfg.Customers)
+		}
+	}
+	f.run(t, 12*time.Second, all)
+	before := int64(0)
+	for _, x := range f.x {
+		before += x.Counts.Sent
+	}
+	f.run(t, 5*time.Second, all)
+	for _, x := range f.x {
+		before -= x.Counts.Sent
+	}
+	if before != 0 {
+		t.Errorf("%d messages in 5 s at rest", -before)
+	}
+}
+
+func BenchmarkExchange(b *testing.B) {
+	f := newFleet(3)
+	o := f.owner()
+	for i := 0; b.Loop(); i++ {
+		f.level((o + 1) % 3)
+		f.send((o+1)%3, 1)
+		f.now += 60 * time.Millisecond
+		f.flush()
+		for len(f.air) > 0 {
+			f.hear(b, f.air[0])
+			f.air = f.air[1:]
+			f.flush()
+		}
+	}
+}
--- a/fleet/share/share.go
+++ b/fleet/share/share.go
@@ -1,66 +1,27 @@
 // Package share is the pure part of what edge nodes decide together about a customer's quota: who
 // holds the store, what the others tell the holder, and what it tells them. It has no clock, no
-// socket and no goroutine; times are on the caller's monotonic clock.
+// socket and no goroutine; times are on the caller's monotonic clock, and each node has its own.
 //
 // A customer's owner is one of the live nodes of its set. Each node tells the owner, in batches and
-// after its decision, what it has sent on. The owner keeps the one store and, while that is low,
-// tells the set how much it holds. Between two notices a node reckons with the refill. What was
-// told counts for Life and no longer, so a node that hears nothing decides as one alone.
+// after its decision, what it has sent on; the owner keeps the one store. While a store is low, its
+// owner tells all nodes how much it holds, by heads that gather what many owners tell (see
+// Exchange). Between two levels a node reckons with the refill and its own uses. What was told
+// counts for Life and no longer, so a node that hears nothing decides as one alone.
 package share
 
 import (
-	"encoding/binary"
 	"math"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Figures of the exchange, each with its reason.
 const (
-	Life    = time.Second            // age at which a notice is not used any more
-	Renew   = 700 * time.Millisecond // after which a low store is told again: before the last notice ends
-	lowPart = 0.4                    // of the depth, below which the store is told: a surge of six times the rate takes the rest in a third of a second
-	step    = 0.08                   // of the depth, by which it must differ from what the set reckons with to be told
+	Life    = time.Second            // age at which what was told is not used any more
+	Renew   = 700 * time.Millisecond // after which a low store is told again: before the last level ends
+	lowPart = 0.7                    // of the depth, below which the store is told: the control module asks whether half is there
+	step    = 0.08                   // of the depth, by which it must differ from what the others reckon with to be told
 )
 
-// Member is a node as it takes part in the choice of owners.
-type Member uint64
-
-// MemberOf gives a node's part in the choice; it goes by the name, which outlives the process.
-func MemberOf(name string) Member { return Member(xxhash.Sum64String(name)) }
-
-// Owner gives the index, among the members for which live holds, of the one that holds a
-// customer's store, by rendezvous hashing: a member that goes moves its own customers alone, and
-// one that comes takes its even part. It gives -1 where none is live.
-func Owner(customer uint64, members []Member, live func(i int) bool) int {
-	best, most := -1, uint64(0)
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], customer)
-	for i, m := range members {
-		if !live(i) {
-			continue
-		}
-		binary.LittleEndian.PutUint64(b[8:], uint64(m))
-		if h := xxhash.Sum64(b[:]); best < 0 || h > most {
-			best, most = i, h
-		}
-	}
-	return best
-}
-
-// Use is the units that one node has sent on for a customer since it told its owner last.
-type Use struct {
-	Customer uint64
-	Units    float64
-}
-
-// Notice is what an owner tells the set while a store is low.
-type Notice struct {
-	Customer uint64
-	Level    float64 // units held
-}
-
 // Quota is what a customer may send: units a second, and units that its store holds at most.
 type Quota struct{ Rate, Depth float64 }
 
@@ -74,13 +35,14 @@
 	Quota
 	level    float64
 	at       time.Duration
-	told     float64 // the level that the set was told last
+	taken    float64 // since it was made here
+	guessed  bool    // its first level was not told by the owner before
+	told     float64 // the level that was told last
 	toldAt   time.Duration
 	toldOnce bool
 }
 
-// NewStore makes a store at a level. An owner that follows one it has not heard from begins with
-// nothing: what the former one has granted is not known.
+// NewStore makes a store at a level.
 func NewStore(q Quota, level float64, now time.Duration) *Store {
 	return &Store{Quota: q, level: level, at: now}
 }
@@ -88,55 +50,69 @@
 // Level gives the units that the store holds.
 func (s *Store) Level(now time.Duration) float64 { return s.reckon(s.level, now-s.at) }
 
-// Take takes units that were sent on, or gives them back where they are below zero. The store goes
-// below nothing by its depth at most, so that a surge nobody could know of is forgotten in time.
+// Take takes units that were sent on, or gives them back where they are below zero. What the store
+// does not hold went beyond the quota and leaves no debt: the platform takes it from nobody.
 func (s *Store) Take(units float64, now time.Duration) {
-	s.level, s.at = math.Max(-s.Depth, math.Min(s.Depth, s.Level(now)-units)), now
+	s.set(s.Level(now)-units, now)
+	s.taken += units
+}
+
+func (s *Store) set(level float64, now time.Duration) {
+	s.level, s.at = math.Max(0, math.Min(s.Depth, level)), now
 }
 
-// Due gives the notice that is to go out now, if one is: while the store is low, when the set
-// reckons with another level or will soon not reckon with any.
-func (s *Store) Due(customer uint64, now time.Duration) (n Notice, ok bool) {
-	level := s.Level(now)
+// Merge takes over the store of another that held it, at the level that it had there. Where this
+// one began with a guess, the other's level stands, less what was taken here since; where both
+// were held at once, as on two sides of a partition, what either has given is gone.
+func (s *Store) Merge(level float64, now time.Duration) {
+	if s.guessed {
+		s.guessed = false
+		s.set(level-s.taken, now)
+		return
+	}
+	s.set(s.Level(now)-(s.Depth-math.Min(s.Depth, level)), now)
+}
+
+// Due gives the level that is to be told now, if one is: while the store is low, when the others
+// reckon with another level or will soon not reckon with any.
+func (s *Store) Due(now time.Duration) (level float64, ok bool) {
+	level = s.Level(now)
 	reckoned := s.reckon(s.told, now-s.toldAt)
 	fresh := s.toldOnce && now < s.toldAt+Renew
-	if level >= lowPart*s.Depth && !(fresh && reckoned < lowPart*s.Depth) || fresh && math.Abs(level-reckoned) < step*s.Depth {
-		return Notice{}, false
+	if !s.low(level) && !(fresh && s.low(reckoned)) || fresh && math.Abs(level-reckoned) < step*s.Depth {
+		return 0, false
 	}
 	s.told, s.toldAt, s.toldOnce = level, now, true
-	return Notice{customer, level}, true
+	return level, true
 }
 
-// View is what a node of the set knows of a customer's store from its owner.
+func (s *Store) low(level float64) bool { return level < lowPart*s.Depth }
+
+// View is what a node knows of a customer's store from its owner.
 type View struct {
 	level float64
-	at    time.Duration // at which it was right, on this node's clock
+	at    time.Duration // at which it was right at the latest, on this node's clock
 	heard bool
+	low   bool // when it was heard
+	least bool // no level was told, but that it was not low
 }
 
-// Hear takes a notice; sent is the latest time, on this node's clock, at which it can have been
-// sent. An older one than the last changes nothing.
-func (v *View) Hear(n Notice, sent time.Duration) {
-	if !v.heard || sent >= v.at {
-		v.level, v.at, v.heard = n.Level, sent, true
+// Hear takes a level; at is the earliest time, on this node's clock, at which it can have been
+// right. An older one than the last changes nothing, and of two of one time the lower counts.
+func (v *View) Hear(level float64, at time.Duration) {
+	switch {
+	case !v.heard || at > v.at:
+		*v = View{level: level, at: at, heard: true}
+	case at == v.at:
+		v.level = math.Min(v.level, level)
 	}
 }
 
-// Heard is the time that the age of what was heard counts from.
-func (v *View) Heard() time.Duration { return v.at }
-
 // Fresh tells whether what was heard may still be used.
 func (v *View) Fresh(now time.Duration) bool { return v.heard && now <= v.at+Life }
 
-// Admit decides on a try of some units: it passes where the store is reckoned to hold them, and
-// where nothing fresh is known. Its units count at once against what is reckoned here.
-func (v *View) Admit(q Quota, units float64, now time.Duration) bool {
-	if !v.Fresh(now) {
-		return true
-	}
-	if q.reckon(v.level, now-v.at) < units {
-		return false
-	}
-	v.level -= units
-	return true
-}
+// Take takes own units from what is reckoned here.
+func (v *View) Take(units float64) { v.level -= units }
+
+// Level gives what the store is reckoned to hold.
+func (v *View) Level(q Quota, now time.Duration) float64 { return q.reckon(v.level, now-v.at) }
--- a/fleet/share/share_test.go
+++ b/fleet/share/share_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -13,23 +12,15 @@
 // The same draws in each run, so that the verdict is the same; -rapid.seed gives others.
 func init() { flag.Set("rapid.seed", "1") }
 
-func members(n int) (m []Member) {
-	for i := range n {
-		m = append(m, MemberOf(fmt.Sprintf("n%d", i)))
-	}
-	return m
-}
-
-// When one of n members goes, its own customers move and no other; they are at most 1.5/n of all.
+// When one of n nodes goes, its own customers move and no other; they are at most 1.5/n of all.
 func TestFewCustomersMove(t *testing.T) {
 	const customers = 20000
 	for _, n := range []int{3, 10, 60, 300} {
-		all := members(n)
 		for _, gone := range []int{0, n / 2, n - 1} {
-			moved := 0
+			moved, all := 0, Set{n / 3, n}
 			for c := range uint64(customers) {
-				before := Owner(c, all, func(int) bool { return true })
-				after := Owner(c, all, func(i int) bool { return i != gone })
+				before, _ := Owner(c, all, n, func(int) bool { return true })
+				after, _ := Owner(c, all, n, func(i int) bool { return i != gone })
 				if before != after {
 					moved++
 					if before != gone {
@@ -42,13 +33,35 @@
 			}
 		}
 	}
-	if got := Owner(1, members(2), func(int) bool { return false }); got != -1 {
-		t.Errorf("owner %d where none is live", got)
-	}
 }
 
-// A store never holds more than its depth, nor more than its rate has brought; what is taken is
-// gone, whatever the order of the tellers.
+// Of the sides of a partition one has a quorum at most, and an owner is one of its set.
+func TestOneSideHasTheQuorum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		group := rapid.IntRange(1, 40).Draw(t, "group")
+		s := Set{rapid.IntRange(0, group-1).Draw(t, "first"), rapid.IntRange(1, group).Draw(t, "spread")}
+		side := rapid.SliceOfN(rapid.IntRange(0, 2), group, group).Draw(t, "sides")
+		customer, sides := rapid.Uint64().Draw(t, "customer"), 0
+		for k := range 3 {
+			owner, quorum := Owner(customer, s, group, func(i int) bool { return side[i] == k })
+			if quorum {
+				sides++
+			}
+			if owner >= 0 && (side[owner] != k || (owner-s.First+group)%group >= s.Spread) {
+				t.Fatalf("owner %d of set %v is on side %d, asked for %d", owner, s, side[owner], k)
+			}
+			if owner < 0 && quorum {
+				t.Fatal("a quorum of nobody")
+			}
+		}
+		if sides > 1 {
+			t.Fatalf("%d sides have a quorum", sides)
+		}
+	})
+}
+
+// A store never holds more than its depth, nor less than nothing, and grants no more than its rate
+// has brought.
 func TestStoreIsExact(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := Quota{rapid.Float64Range(0.1, 50).Draw(t, "rate"), rapid.Float64Range(1, 100).Draw(t, "depth")}
@@ -57,48 +70,48 @@
 		for range rapid.IntRange(1, 100).Draw(t, "uses") {
 			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond
 			units := float64(rapid.IntRange(0, 8).Draw(t, "units"))
-			if s.Level(now) < units {
-				continue
-			}
+			held := s.Level(now)
 			s.Take(units, now)
-			sent += units
-			if level := s.Level(now); level < -1e-9 || level > q.Depth || sent > q.Depth+q.Rate*now.Seconds()+1e-6 {
+			if held >= units {
+				sent += units
+			}
+			if level := s.Level(now); level < 0 || level > q.Depth || sent > q.Depth+q.Rate*now.Seconds()+1e-6 {
 				t.Fatalf("level %g of %g, %g sent by %v", level, q.Depth, sent, now)
 			}
 		}
 	})
 }
 
-// A notice is not used beyond its life, an older one does not replace a newer one, and no more
-// passes than what was told and the refill since.
-func TestViewKeepsToItsAge(t *testing.T) {
+// Whatever the order in which levels are heard, and however often, the view is the same: the newest,
+// of two of one time the lower; and it is used for Life and no longer.
+func TestViewsMerge(t *testing.T) {
+	type told struct {
+		level float64
+		at    time.Duration
+	}
 	rapid.Check(t, func(t *rapid.T) {
-		q := Quota{rapid.Float64Range(0.1, 20).Draw(t, "rate"), 40}
-		told := rapid.Float64Range(-10, 40).Draw(t, "level")
-		var v View
-		if !v.Admit(q, 8, 0) {
-			t.Fatal("a node that has heard nothing refuses")
+		all := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) told {
+			return told{float64(rapid.IntRange(0, 40).Draw(t, "level")), time.Duration(rapid.IntRange(1, 5).Draw(t, "at")) * 100 * time.Millisecond}
+		}), 1, 8).Draw(t, "told")
+		var a, b View
+		for _, x := range all {
+			a.Hear(x.level, x.at)
 		}
-		v.Hear(Notice{Level: told}, time.Second)
-		v.Hear(Notice{Level: 40}, 500*time.Millisecond) // late on its way
-		now, passed := time.Second, 0.0
-		for now += 10 * time.Millisecond; now <= time.Second+Life; now += time.Duration(rapid.IntRange(1, 200).Draw(t, "pause")) * time.Millisecond {
-			if v.Admit(q, 2, now) {
-				passed += 2
-			}
-			if most := told + q.Rate*(now-time.Second).Seconds() + 1e-9; passed > max(0, most) {
-				t.Fatalf("%g passed by %v, %g were told and refilled", passed, now, most)
-			}
+		for _, x := range rapid.Permutation(append(all, all...)).Draw(t, "again") {
+			b.Hear(x.level, x.at)
 		}
-		if !v.Admit(q, 1000, time.Second+Life+1) {
-			t.Fatal("a notice is used beyond its life")
+		if a != b {
+			t.Fatalf("heard in another order and twice: %+v, not %+v", b, a)
+		}
+		if !a.Fresh(a.at+Life) || a.Fresh(a.at+Life+1) {
+			t.Fatalf("a level of %v is fresh until another time than %v", a.at, a.at+Life)
 		}
 	})
 }
 
-// A full store tells nothing. While one is low the set reckons with its level to a step, for as
-// long as it is told of uses.
-func TestSetReckonsWithTheLevel(t *testing.T) {
+// A store that is not low tells nothing. While one is low the others reckon with its level to a
+// step, for as long as it is told of uses.
+func TestOthersReckonWithTheLevel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := Quota{rapid.Float64Range(0.5, 20).Draw(t, "rate"), 40}
 		s, now := NewStore(q, q.Depth, 0), time.Duration(0)
@@ -106,19 +119,56 @@
 		for range 200 {
 			now += time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond
 			s.Take(rapid.Float64Range(-2, 8).Draw(t, "units"), now)
-			if n, ok := s.Due(1, now); ok {
-				v.Hear(n, now)
+			if level, ok := s.Due(now); ok {
+				v.Hear(level, now)
 			}
-			if level := s.Level(now); level < lowPart*q.Depth {
-				if !v.Fresh(now) || math.Abs(q.reckon(v.level, now-v.at)-level) > step*q.Depth {
-					t.Fatalf("at %v the store holds %g, the set reckons with %g of %v", now, level, v.level, v.at)
-				}
+			if level := s.Level(now); s.low(level) && (!v.Fresh(now) || math.Abs(v.Level(q, now)-level) > step*q.Depth) {
+				t.Fatalf("at %v the store holds %g, the others reckon with %g of %v", now, level, v.level, v.at)
+			}
+		}
+	})
+}
+
+// A store that is handed on stands less what was taken since; two that were held at once come to
+// no more than either.
+func TestStoresMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := Quota{2, 40}
+		a, b := rapid.Float64Range(0, 40).Draw(t, "a"), rapid.Float64Range(0, 40).Draw(t, "b")
+		s := NewStore(q, a, 0)
+		if s.guessed = rapid.Bool().Draw(t, "guessed"); s.guessed {
+			s.Take(3, 0)
+			if s.Merge(b, 0); math.Abs(s.Level(0)-math.Max(0, b-3)) > 1e-9 {
+				t.Fatalf("a store of %g handed on, 3 taken since: %g", b, s.Level(0))
 			}
+			return
+		}
+		if s.Merge(b, 0); s.Level(0) > math.Min(a, b)+1e-9 {
+			t.Fatalf("stores of %g and %g held at once come to %g", a, b, s.Level(0))
 		}
 	})
-	s := NewStore(Quota{10, 40}, 40, 0)
-	s.Take(3, time.Second)
-	if n, ok := s.Due(1, time.Second); ok {
-		t.Errorf("a store that is nearly full tells %+v", n)
+}
+
+func FuzzDecode(f *testing.F) {
+	seed, err := (&Message{From: 1, Life: 7, Number: 3, Seq: 2, Uses: []Use{{Customer: 9, Plan: 1, Spread: 2, Units: 3}},
+		Hop: 1, Levels: []Level{{Customer: 9, Units: 2, Age: 40}}, Owners: []Told{{Node: 1}}}).Encode()
+	if err != nil {
+		f.Fatal(err)
 	}
+	f.Add(seed)
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := Decode(raw, 4)
+		if err != nil {
+			return
+		}
+		if _, err := m.Encode(); err != nil && len(raw) < MessageMost/2 {
+			t.Fatalf("%+v can't be written again: %v", m, err)
+		}
+		x := NewExchange(Config{Self: 0, Group: 4, Life: 1, Quotas: map[uint32]Quota{1: {2, 20}}, Customers: 100}, 0)
+		x.Live(0, []Node{{1, m.Life}, {2, 5}, {3, 6}})
+		m.From = 1
+		x.Hear(time.Second, m)
+		x.Flush(2 * time.Second)
+	})
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -77,6 +77,7 @@
 
 	between    [][]*link.Path // nodes that talk, from and to
 	forwarders []*link.Forwarder
+	datagrams  *net.UDPConn // that the nodes' datagrams go on from; nil where they don't talk
 }
 
 // errBusy is what a machine that can't hold the play gives.
@@ -342,6 +343,9 @@
 		if m.From >= 0 {
 			p.after(faults, m.From, func() { p.join(faults, i) })
 		}
+		for _, x := range m.Pauses {
+			p.after(faults, x.At, func() { p.servers[i].Pause(x.For) })
+		}
 		if m.Drain > 0 {
 			p.after(faults, m.Drain, func() { p.change(faults, i, "draining", p.day.Notice.Change) })
 			p.after(faults, m.Gone, func() { p.leave(faults, i) })
@@ -404,5 +408,8 @@
 	for _, f := range p.forwarders {
 		f.Close()
 	}
+	if p.datagrams != nil {
+		p.datagrams.Close()
+	}
 	p.wg.Wait()
 }
--- a/internal/lab/link/forward.go
+++ b/internal/lab/link/forward.go
@@ -25,12 +25,20 @@
 	ctx    context.Context
 	done   sync.WaitGroup
 	flight chan struct{}
+	out    *net.UDPConn // that datagrams go on from where none is answered on the way; else nil
+	dest   *net.UDPAddr
 	mu     sync.Mutex
 	backs  map[string]*net.UDPConn // by the sender's address: the socket that its answers come to
 }
 
-// Forward listens at an address and passes on to another what comes there.
-func (p *Path) Forward(listen, to string) (*Forwarder, error) {
+// Forward listens at an address and passes on to another what comes there. Datagrams go on from out
+// where the processes answer to addresses that they are told, so that many paths need few sockets;
+// with none, each sender's answers find their way back.
+func (p *Path) Forward(listen, to string, out *net.UDPConn) (*Forwarder, error) {
+	dest, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		return nil, err
+	}
 	tcp, err := p.Listen(listen)
 	if err != nil {
 		return nil, err
@@ -45,7 +53,7 @@
 		tcp.Close()
 		return nil, err
 	}
-	f := &Forwarder{path: p, tcp: tcp, udp: udp, to: to, flight: make(chan struct{}, udpCopies), backs: make(map[string]*net.UDPConn)}
+	f := &Forwarder{path: p, tcp: tcp, udp: udp, to: to, out: out, dest: dest, flight: make(chan struct{}, udpCopies), backs: make(map[string]*net.UDPConn)}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	f.done.Add(2)
 	go f.streams()
@@ -120,7 +128,9 @@
 		if err != nil {
 			return
 		}
-		if back := f.back(from); back != nil {
+		if f.out != nil {
+			f.carry(append([]byte(nil), buf[:n]...), true, func(b []byte) { f.out.WriteToUDP(b, f.dest) })
+		} else if back := f.back(from); back != nil {
 			f.carry(append([]byte(nil), buf[:n]...), true, func(b []byte) { back.Write(b) })
 		}
 	}
@@ -154,11 +164,10 @@
 	if c := f.backs[from.String()]; c != nil {
 		return c
 	}
-	to, err := net.ResolveUDPAddr("udp", f.to)
-	if err != nil || f.ctx.Err() != nil {
+	if f.ctx.Err() != nil {
 		return nil
 	}
-	c, err := net.DialUDP("udp", nil, to)
+	c, err := net.DialUDP("udp", nil, f.dest)
 	if err != nil {
 		return nil
 	}
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -185,7 +185,7 @@
 		}
 	}()
 	p := NewPath(0, 1, time.Millisecond)
-	f, err := p.Forward("127.0.0.1:0", addr)
+	f, err := p.Forward("127.0.0.1:0", addr, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -275,7 +275,7 @@
 	rate := float64(len(d.Arrivals)) / d.Length.Seconds()
 	need := len(d.Nodes)*len(d.Servers) + 8*len(d.Nodes) + 4*int(rate) + 200
 	if d.File.On.Peers {
-		need += 5 * len(d.Nodes) * len(d.Nodes)
+		need += 3 * len(d.Nodes) * len(d.Nodes)
 	}
 	if uint64(need) > have.Cur {
 		return fmt.Errorf("%s needs some %d descriptors, this process may hold %d", d.Name, need, have.Cur)
--- a/internal/lab/origin/server.go
+++ b/internal/lab/origin/server.go
@@ -91,6 +91,7 @@
 	slow      float64 // factor on the time of all work
 	errors    float64 // part of the answers that are errors, beside the usual
 	paused    bool
+	held      int // pauses by chance that last
 	dead      bool
 	since     time.Duration // start of the process
 	cold      bool
@@ -143,12 +144,14 @@
 func (s *Server) capacity(now time.Duration) float64 {
 	held := float64(len(s.work)+len(s.queue)) / float64(s.m.Cores)
 	thrash := 1 + s.m.Thrash*math.Max(0, held-s.m.ThrashAt)
-	return float64(s.m.Cores) * s.m.Speed * s.warmth(now) / thrash / s.slow
+	full := float64(s.conns) / math.Max(1, float64(s.fleet.Day.File.Server.Connections))
+	tax := s.m.TableTax * math.Max(0, math.Min(1, 2*full-1))
+	return float64(s.m.Cores) * s.m.Speed * s.warmth(now) * (1 - tax) / thrash / s.slow
 }
 
 // each is the core-seconds a second that each request in work gets.
 func (s *Server) each(now time.Duration) float64 {
-	if s.paused || len(s.work) == 0 {
+	if s.paused || s.held > 0 || len(s.work) == 0 {
 		return 0
 	}
 	c := s.capacity(now)
@@ -288,6 +291,19 @@
 	s.plan(s.at)
 }
 
+// Pause lets the server do no work for a while; those that overlap last until the last has ended.
+func (s *Server) Pause(d time.Duration) {
+	hold := func(by int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.advance(s.fleet.Clock())
+		s.held += by
+		s.plan(s.at)
+	}
+	hold(1)
+	time.AfterFunc(d, func() { hold(-1) })
+}
+
 // Crash ends the process: connections are reset, new ones refused.
 func (s *Server) Crash() {
 	s.mu.Lock()
--- a/internal/lab/origin/server_test.go
+++ b/internal/lab/origin/server_test.go
@@ -49,6 +49,27 @@
 	}
 }
 
+// A pause, and one that begins within it, keep work waiting until both have ended; a table of
+// connections that is three quarters full takes half of the tax.
+func TestPauseAndTableTax(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		taxed := warm
+		taxed.TableTax = 0.4
+		s, _, clock := machine(taxed)
+		defer s.timer.Stop()
+		s.conns, s.fleet.Day.File.Server.Connections = 75, 100
+		j := s.admit(0.1, clock())
+		time.Sleep(50 * time.Millisecond)
+		s.Pause(60 * time.Millisecond)
+		time.Sleep(30 * time.Millisecond)
+		s.Pause(70 * time.Millisecond)
+		<-j.done
+		if got, want := clock(), 225*time.Millisecond; math.Abs((got - want).Seconds()) > 0.001 {
+			t.Errorf("done after %v, wanted %v", got, want)
+		}
+	})
+}
+
 func TestFullServerTurnsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, _, clock := machine(warm)
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,6 +30,11 @@
 
 // buildPeers puts a forwarder between each two nodes and writes each node's fleet file.
 func (p *play) buildPeers() error {
+	out, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return err
+	}
+	p.datagrams = out
 	p.between = make([][]*link.Path, len(p.nodes))
 	for i, n := range p.nodes {
 		via := map[string]string{}
@@ -37,7 +44,7 @@
 				continue
 			}
 			path := link.NewPath(i, j, p.delay(n.Zone, m.Zone))
-			f, err := path.Forward(p.address(i, portPeersAt+j), p.address(j, portPeer))
+			f, err := path.Forward(p.address(i, portPeersAt+j), p.address(j, portPeer), out)
 			if err != nil {
 				return err
 			}
@@ -63,7 +70,7 @@
 		regions[name] = append(regions[name], z.Name)
 	}
 	raw, err := toml.Marshal(map[string]any{"regions": regions,
-		"peers": map[string]any{"label": p.day.Name, "port": portPeer, "seeds": seeds, "via": via}})
+		"peers": map[string]any{"label": p.day.Name, "port": portPeer, "seeds": seeds, "via": via, "limits": p.day.File.On.Limits}})
 	if err != nil {
 		return err
 	}
@@ -71,26 +78,30 @@
 	return os.WriteFile(n.fleet, raw, 0o644)
 }
 
-// peersOf asks a node's console how many others it takes to be live.
-func (p *play) peersOf(ctx context.Context, n *node) (int, bool) {
+// figuresOf reads figures from a node's console by name; ok is false where it does not answer.
+func (p *play) figuresOf(ctx context.Context, n *node, names ...string) (got []float64, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, lookWithin)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address(n.index, portConsole)+"/metrics", nil)
 	if err != nil {
-		return 0, false
+		return nil, false
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, false
+		return nil, false
 	}
 	defer resp.Body.Close()
+	got = make([]float64, len(names))
 	for in := bufio.NewScanner(resp.Body); in.Scan(); {
-		if text, ok := strings.CutPrefix(in.Text(), "node_peers "); ok {
-			v, err := strconv.Atoi(text)
-			return v, err == nil
+		name, text, _ := strings.Cut(in.Text(), " ")
+		if i := slices.Index(names, name); i >= 0 {
+			if got[i], err = strconv.ParseFloat(text, 64); err != nil {
+				return nil, false
+			}
+			ok = true
 		}
 	}
-	return 0, false
+	return got, ok
 }
 
 // look notes, now and then, whether the nodes that run see each other and no more.
@@ -109,14 +120,20 @@
 				run = append(run, n)
 			}
 		}
+		var known, unknown float64
 		for _, n := range run {
-			if v, ok := p.peersOf(ctx, n); ok && v == running-1 {
+			v, ok := p.figuresOf(ctx, n, "node_peers", "node_share_known_total", "node_share_unknown_total")
+			if !ok {
+				continue
+			}
+			if int(v[0]) == running-1 {
 				right++
 			}
+			known, unknown = known+v[1], unknown+v[2]
 		}
 		at := p.clock()
 		p.book.With(func() {
-			p.book.Views = append(p.book.Views, record.View{At: at, Right: float64(right) / float64(max(1, running))})
+			p.book.Views = append(p.book.Views, record.View{At: at, Right: float64(right) / float64(max(1, running)), Known: known, Unknown: unknown})
 		})
 		select {
 		case <-t.C:
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -135,6 +135,8 @@
 type View struct {
 	At    time.Duration
 	Right float64
+	// Requests so far whose customer's store the nodes knew, and did not know.
+	Known, Unknown float64
 }
 
 // Run is the life of one process of a node; To is zero while it runs.
--- a/internal/lab/scenario/day.go
+++ b/internal/lab/scenario/day.go
@@ -70,10 +70,15 @@
 	Cold         time.Duration
 	Handshake    time.Duration // work of a new connection
 	ErrorRate    float64
+	TableTax     float64
+	Pauses       []Pause       // by chance, in order
 	From         time.Duration // when it starts; below zero is long ago
 	Drain, Gone  time.Duration // zero is never
 }
 
+// Pause is a while in which a server does no work.
+type Pause struct{ At, For time.Duration }
+
 // DayPlan is a plan with its quota as drawn.
 type DayPlan struct {
 	Name                         string
@@ -125,6 +130,7 @@
 	d.drawFleet(f)
 	d.drawPlans(f)
 	d.drawFaults(f)
+	d.drawPauses(f)
 	if f.Clients.Arrivals != "" {
 		if err := d.readArrivals(f.Clients.Arrivals); err != nil {
 			return nil, err
@@ -180,6 +186,22 @@
 	d.Counter.PerS, d.Counter.Back = f.Counter.PerS.draw(rng), span(f.Counter.BackS.draw(rng))
 }
 
+// drawPauses fixes when servers pause by chance, those of a release among them.
+func (d *Day) drawPauses(f *File) {
+	rng := rngFor(d.Seed, "pauses")
+	every, tax := f.Server.PauseEveryS.draw(rng), f.Server.TableTax.draw(rng)
+	for i := range d.Servers {
+		m := &d.Servers[i]
+		m.TableTax = tax
+		for at := 0.0; every > 0; {
+			if at += every * rng.ExpFloat64(); at >= f.Seconds {
+				break
+			}
+			m.Pauses = append(m.Pauses, Pause{span(at), spanMS(f.Server.PauseMS.draw(rng))})
+		}
+	}
+}
+
 func (d *Day) machine(base Machine, i int, cv float64, rng *rand.Rand) Machine {
 	m := base
 	m.UID = fmt.Sprintf("s-%08x", rng.Uint32())
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -82,7 +82,8 @@
 
 // On is what a scenario switches on in the nodes; nothing by itself.
 type On struct {
-	Peers bool // nodes talk
+	Peers  bool // nodes talk
+	Limits bool // and share what customers have left of their quotas
 }
 
 // Fleet is the size of a deployment and the limits of a node.
@@ -108,6 +109,9 @@
 	WarmBy       string  `toml:"warm_by"`      // "time" or "requests"
 	HandshakeMS  Range   `toml:"handshake_ms"` // work of a new connection
 	Connections  int     // held at most, by all nodes
+	TableTax     Range   `toml:"table_tax"`     // part of the capacity lost to a full table of connections, none to half of one
+	PauseEveryS  Range   `toml:"pause_every_s"` // mean time between two pauses by chance; 0 is none
+	PauseMS      Range   `toml:"pause_ms"`      // how long each lasts
 	IdleS        float64 `toml:"idle_s"`
 	ErrorRate    Range   `toml:"error_rate"`
 	CellSize     int     `toml:"cell_size"`
@@ -220,8 +224,9 @@
 	Served     float64 // share of worth served, at least
 	WorstClass float64 `toml:"worst_class"`
 	Over       float64 // units beyond quota, of those sent, at most; 0 is not held
-	BackWithin float64 `toml:"back_within_s"` // after the last fault, until service is whole; 0 is not held
-	ViewsBack  float64 `toml:"views_back_s"`  // after the last fault, until all nodes see each other; 0 is not held
+	Room       float64 `toml:"refused_with_room"` // of tries, at most; 0 is not held
+	BackWithin float64 `toml:"back_within_s"`     // after the last fault, until service is whole; 0 is not held
+	ViewsBack  float64 `toml:"views_back_s"`      // after the last fault, until all nodes see each other; 0 is not held
 }
 
 // kinds are the faults that can be named, with what each needs beyond its time.
@@ -251,27 +256,40 @@
 // Read reads a scenario file; an unknown key is an error. Each of set is a KEY=VALUE in the file's
 // own form that goes before what the file has.
 func Read(path string, set ...string) (*File, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
+	f := defaults()
+	if err := f.read(path, basesMost); err != nil {
 		return nil, err
 	}
-	f := defaults()
-	if err := decode(raw, f); err != nil {
+	for _, kv := range set {
+		if err := decode([]byte(kv), f); err != nil {
+			return nil, fmt.Errorf("%s: %w", kv, err)
+		}
+	}
+	if err := f.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	if f.Base != "" {
-		base := filepath.Join(filepath.Dir(path), f.Base)
-		below, err := os.ReadFile(base)
-		if err != nil {
-			return nil, fmt.Errorf("%s: base: %w", path, err)
-		}
-		own := f
-		f = defaults()
-		if err := decode(below, f); err != nil {
-			return nil, fmt.Errorf("%s: %w", base, err)
+	return f, nil
+}
+
+// basesMost is how many files a scenario may depart from, one from the next.
+const basesMost = 3
+
+// read takes over what a file has, after what its base has.
+func (f *File) read(path string, bases int) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	own := defaults()
+	if err := decode(raw, own); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if own.Base != "" {
+		if bases == 0 {
+			return fmt.Errorf("%s: departs from more than %d files", path, basesMost)
 		}
-		if f.Base != "" {
-			return nil, fmt.Errorf("%s: its base %s departs from another", path, f.Base)
+		if err := f.read(filepath.Join(filepath.Dir(path), own.Base), bases-1); err != nil {
+			return fmt.Errorf("%s: base: %w", path, err)
 		}
 		f.Gate = Gate{}
 		if own.Class != nil { // lists that it has stand in place of the base's
@@ -283,19 +301,11 @@
 		if own.Fault != nil {
 			f.Fault = nil
 		}
-		if err := decode(raw, f); err != nil {
-			return nil, fmt.Errorf("%s: %w", path, err)
-		}
-	}
-	for _, kv := range set {
-		if err := decode([]byte(kv), f); err != nil {
-			return nil, fmt.Errorf("%s: %w", kv, err)
-		}
 	}
-	if err := f.check(); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err := decode(raw, f); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
 	}
-	return f, nil
+	return nil
 }
 
 func decode(raw []byte, f *File) error {
@@ -341,6 +351,9 @@
 			return fmt.Errorf("%szone: there is no zone %d", at, *x.Zone)
 		}
 	}
+	if f.On.Limits && !f.On.Peers {
+		return errors.New("on.limits: on.peers has to be true too")
+	}
 	for _, c := range f.Class {
 		if !(c.AimMS > 0 && c.DeadlineMS >= c.AimMS) {
 			return fmt.Errorf("class %s: aim_ms and deadline_ms: %g and %g do not fit", c.Name, c.AimMS, c.DeadlineMS)
@@ -363,7 +376,7 @@
 			KnownLateS: 2},
 		Server: Server{Cores: 3, Speed: Range{0.85, 1.1}, SpeedCV: Range{0.054, 0.24}, SlotsPerCore: Range{2, 6},
 			QueuePerCore: Range{12, 34}, Thrash: Range{0.078, 0.26}, ThrashAt: Range{3.8, 7.9}, ColdFrom: Range{0.17, 0.47},
-			ColdS: Range{9.3, 16}, WarmBy: "requests", HandshakeMS: Range{0.4, 1.9}, Connections: 1800, IdleS: 30,
+			ColdS: Range{9.3, 16}, WarmBy: "requests", HandshakeMS: Range{0.4, 1.9}, Connections: 1800, TableTax: Range{0.1, 0.3}, IdleS: 30,
 			ErrorRate: Range{0, 0.001}, CellSize: 4},
 		Net: Net{SameMS: Range{0.1, 0.26}, CrossMS: Range{1.4, 2.6}, FarMS: Range{15, 30}, ClientMS: Range{0.46, 1.1}},
 		Clients: Clients{Retries: Range{0, 1.5}, TryShare: Range{0.5, 1}, BackoffMS: Range{60, 480}, Honour: Range{0.33, 0.95},
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -6,7 +6,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -14,6 +13,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"martennotch/control"
 	"martennotch/fleet/share"
 	"martennotch/internal/lab/judge"
 	"martennotch/internal/lab/ledger"
@@ -25,17 +25,14 @@
 
 // The ways that are compared.
 const (
-	Alone   Way = "alone"   // each node holds its even part of each store; nothing is told
+	Alone   Way = "alone"   // each node takes the others to send as much as itself; nothing is told
 	Lease   Way = "lease"   // the owner gives out units for a while
 	Notices Way = "notices" // the owner is told of each use and tells while a store is low
 )
 
 const (
-	batch       = 50 * time.Millisecond  // for which a node gathers what it tells one other
 	answerAfter = 150 * time.Millisecond // after which the true units are known
-	header      = 28 + 20                // bytes of a datagram's and a message's head
-	useBytes    = 8 + 4
-	noticeBytes = 8 + 4
+	header      = 28 + 1                 // bytes of a datagram's head, and of the membership's
 	leaseBytes  = 8 + 4 + 4
 	roomPart    = 0.5
 	leaseAhead  = 2.0 // s of its use that a node asks a lease for
@@ -80,51 +77,61 @@
 	tries   float64
 	refused float64
 	room    float64
+	blind   float64 // tries of which the node knew nothing
 	units   float64
 	over    float64
 	sent    float64 // messages
 	bytes   float64
 }
 
-// node is one node's part: what it knows by customer and what it has not told yet.
+// node is one node's part, with a clock of its own.
 type node struct {
-	views   map[int]*view
-	uses    map[int]float64              // units by customer
-	notices map[int]map[int]share.Notice // by the node to be told, then customer
+	*share.Exchange
+	views   map[int]*view // alone and by leases
+	skew    time.Duration
 	waiting bool
+	at      time.Duration // of the next flush
 }
 
 type view struct {
-	share.View
-	even  *share.Store  // of its even part, alone
-	lease float64       // units left
-	until time.Duration // of the lease
-	asked float64       // of late, a second
-	at    time.Duration
-	asks  bool
+	even   *share.Store // as it is reckoned alone
+	spread float64
+	lease  float64       // units left
+	until  time.Duration // of the lease
+	asked  float64       // of late, a second
+	at     time.Duration
+	asks   bool
 }
 
 // Run plays a day's first tries in one way; loss is the part of the messages that is lost.
 func Run(d *scenario.Day, way Way, loss float64) judge.Figures {
 	p := &play{d: d, way: way, loss: loss, rng: rand.New(rand.NewPCG(d.Seed, 5)), nodes: make([]node, len(d.Nodes)),
 		age: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
-	for i := range p.nodes {
-		p.nodes[i] = node{map[int]*view{}, map[int]float64{}, map[int]map[int]share.Notice{}, false}
+	quotas, held := map[uint32]share.Quota{}, []ledger.Quota{}
+	for i, plan := range d.Plans {
+		quotas[uint32(i)] = share.Quota{Rate: plan.Rate, Depth: plan.Depth}
+	}
+	var all []share.Node
+	for i := range d.Nodes {
+		all = append(all, share.Node{Index: i, Life: uint64(i) + 1})
 	}
-	var members []share.Member
-	for _, n := range d.Nodes {
-		members = append(members, share.MemberOf(n.Name))
+	for i := range p.nodes {
+		x := &p.nodes[i]
+		x.views, x.skew = map[int]*view{}, time.Duration(p.rng.Int64N(int64(time.Hour)))
+		if way != Notices {
+			continue
+		}
+		x.Exchange = share.NewExchange(share.Config{Self: i, Group: len(d.Nodes), Life: uint64(i) + 1, Quotas: quotas, Customers: 20000}, x.skew)
+		x.Live(x.skew, slices.Concat(all[:i], all[i+1:]))
 	}
-	var quotas []ledger.Quota
-	for _, c := range d.Customers {
-		q := share.Quota{Rate: d.Plans[c.Plan].Rate, Depth: d.Plans[c.Plan].Depth}
-		quotas = append(quotas, ledger.Quota(q))
-		p.owners = append(p.owners, share.Owner(c.ID, members, func(i int) bool {
-			return (i-c.First+len(members))%len(members) < c.Spread
-		}))
+	for i, c := range d.Customers {
+		q := quotas[uint32(c.Plan)]
+		held = append(held, ledger.Quota(q))
+		owner, _ := share.Owner(uint64(i)+1, share.Set{First: c.First, Spread: c.Spread}, len(d.Nodes), func(int) bool { return true })
+		p.owners = append(p.owners, owner)
 		p.stores = append(p.stores, share.NewStore(q, q.Depth, 0))
 	}
-	p.truth = ledger.New(quotas, 0, 0)
+	p.truth = ledger.New(held, 0, 0)
 	for i := range d.Arrivals {
 		p.after(d.Arrivals[i].At, func() { p.arrive(&d.Arrivals[i]) })
 	}
@@ -159,12 +166,12 @@
 	if !inside {
 		p.over += units
 	}
-	p.tell(n, a.Customer, units)
+	p.told(n, a.Customer, units, false)
 	p.after(answerAfter, func() {
 		if inside {
 			p.truth.Settle(a.Customer, units, float64(a.True), p.now)
 		}
-		p.tell(n, a.Customer, float64(a.True)-units)
+		p.told(n, a.Customer, float64(a.True)-units, true)
 	})
 }
 
@@ -172,9 +179,7 @@
 	v := p.nodes[n].views[customer]
 	if v == nil {
 		c := &p.d.Customers[customer]
-		part := 1 / float64(c.Spread)
-		even := share.Quota{Rate: p.quota(customer).Rate * part, Depth: p.quota(customer).Depth * part}
-		v = &view{even: share.NewStore(even, even.Depth, 0)}
+		v = &view{even: share.NewStore(p.quota(customer), p.quota(customer).Depth, 0), spread: float64(c.Spread)}
 		p.nodes[n].views[customer] = v
 	}
 	return v
@@ -189,23 +194,39 @@
 	units := float64(a.Units)
 	switch p.way {
 	case Notices:
-		if v.Fresh(p.now) {
-			p.age.RecordValue(max(1, int64((p.now-v.Heard())/time.Microsecond)))
-		}
-		return v.Admit(p.quota(a.Customer), units, p.now)
+		return p.shared(v, n, a)
 	case Lease:
 		return p.leased(v, n, a)
 	}
-	// Half of a request's units is enough, as on the ordinary path.
+	return p.alone(v, units)
+}
+
+// shared decides by what the node knows of the store, and alone where it knows nothing.
+func (p *play) shared(v *view, n int, a *scenario.Arrival) bool {
+	c, x := &p.d.Customers[a.Customer], &p.nodes[n]
+	k, ok := x.Level(p.now+x.skew, uint64(a.Customer)+1, uint32(c.Plan), share.Set{First: c.First, Spread: c.Spread})
+	q := p.quota(a.Customer)
+	if !ok {
+		p.blind++
+		return p.alone(v, float64(a.Units))
+	}
+	p.age.RecordValue(max(1, int64(k.Age/time.Microsecond)))
+	return k.Least || k.Units >= control.SharedNeed(q.Depth, float64(a.Units), math.Min(1, 4/float64(c.Spread)))
+}
+
+// alone decides by the even part of the store that this node holds.
+func (p *play) alone(v *view, units float64) bool {
+	// The ordinary rule for a customer of which no meter has told: the others are taken to send as
+	// much, and half of a request's units is enough.
 	if v.even.Level(p.now) < units/2 {
 		return false
 	}
-	v.even.Take(units, p.now)
+	v.even.Take(units*v.spread, p.now)
 	return true
 }
 
-// leased decides by the lease, and lets pass where there is none. A lease is asked for beside the
-// try, never before it.
+// leased decides by the lease, and alone where there is none. A lease is asked for beside the try,
+// never before it.
 func (p *play) leased(v *view, n int, a *scenario.Arrival) bool {
 	units, held := float64(a.Units), p.now <= v.until
 	v.asked = v.asked*math.Exp(-(p.now-v.at).Seconds()) + units
@@ -221,7 +242,8 @@
 	}
 	switch {
 	case !held:
-		return true
+		p.blind++
+		return p.alone(v, units)
 	case v.lease >= units:
 		v.lease -= units
 		return true
@@ -260,91 +282,57 @@
 	p.bytes += header + bytes
 }
 
-// tell gathers a use, so that one message carries what a while brings for one owner.
-func (p *play) tell(n, customer int, units float64) {
-	if p.way != Notices || units == 0 {
+// told lets a node's part of the exchange know of units that it has sent on.
+func (p *play) told(n, customer int, units float64, correction bool) {
+	if p.way != Notices {
 		return
 	}
-	p.nodes[n].uses[customer] += units
+	c := &p.d.Customers[customer]
+	p.nodes[n].Sent(p.now+p.nodes[n].skew, uint64(customer)+1, uint32(c.Plan), share.Set{First: c.First, Spread: c.Spread}, units, correction)
 	p.flushSoon(n)
 }
 
+// flushSoon has a node send when it next has something to.
 func (p *play) flushSoon(n int) {
-	if x := &p.nodes[n]; !x.waiting {
-		x.waiting = true
-		p.after(batch, func() { p.flush(n) })
-	}
-}
-
-// flush sends what a node has gathered, one message to each other node.
-func (p *play) flush(n int) {
 	x := &p.nodes[n]
-	x.waiting = false
-	out := map[int][]share.Use{}
-	for _, c := range slices.Sorted(maps.Keys(x.uses)) { // in an order that each play has
-		u := x.uses[c]
-		out[p.owners[c]] = append(out[p.owners[c]], share.Use{Customer: uint64(c), Units: u})
-	}
-	clear(x.uses)
-	for _, owner := range slices.Sorted(maps.Keys(out)) {
-		uses := out[owner]
-		if owner == n {
-			p.took(n, uses)
-			continue
-		}
-		p.message(float64(useBytes * len(uses)))
-		if p.rng.Float64() >= p.loss {
-			p.after(p.wire(), func() { p.took(owner, uses) })
-		}
+	when, ok := x.Wake()
+	if !ok || x.waiting && x.at <= when {
+		return
 	}
-	sent := p.now
-	for _, to := range slices.Sorted(maps.Keys(x.notices)) {
-		notices := x.notices[to]
-		p.message(float64(noticeBytes * len(notices)))
-		if p.rng.Float64() >= p.loss {
-			p.after(p.wire(), func() {
-				for c, notice := range notices {
-					p.view(to, c).Hear(notice, sent)
-				}
-			})
+	x.waiting, x.at = true, when
+	p.after(max(0, when-x.skew-p.now), func() {
+		if x.waiting && x.at == when {
+			x.waiting = false
+			p.flush(n)
 		}
-	}
-	clear(x.notices)
-}
-
-// took counts uses at their owner and gathers the notices that are due, for the whole set.
-func (p *play) took(owner int, uses []share.Use) {
-	for _, u := range uses {
-		p.stores[u.Customer].Take(u.Units, p.now)
-		p.due(owner, int(u.Customer))
-	}
+	})
 }
 
-// due tells the set of a customer where that is due, and looks again before it ends.
-func (p *play) due(owner, customer int) {
-	notice, due := p.stores[customer].Due(uint64(customer), p.now)
-	if !due {
+// flush carries what a node sends, over links that lose some of it.
+func (p *play) flush(n int) {
+	if p.now >= p.d.Length {
 		return
 	}
-	p.after(share.Renew, func() {
-		if p.now < p.d.Length {
-			p.due(owner, customer)
+	for _, o := range p.nodes[n].Flush(p.now + p.nodes[n].skew) {
+		raw, err := o.Message.Encode()
+		if err != nil {
+			panic(err) // the message is the exchange's own
 		}
-	})
-	c := &p.d.Customers[customer]
-	for i := range c.Spread {
-		to := (c.First + i) % len(p.nodes)
-		if to == owner {
-			p.view(to, customer).Hear(notice, p.now)
+		p.sent++
+		p.bytes += header + float64(len(raw))
+		if p.rng.Float64() < p.loss {
 			continue
 		}
-		x := &p.nodes[owner]
-		if x.notices[to] == nil {
-			x.notices[to] = map[int]share.Notice{}
-		}
-		x.notices[to][customer] = notice
+		p.after(p.wire(), func() {
+			m, err := share.Decode(raw, len(p.nodes))
+			if err != nil {
+				panic(err)
+			}
+			p.nodes[o.To].Hear(p.now+p.nodes[o.To].skew, m)
+			p.flushSoon(o.To)
+		})
 	}
-	p.flushSoon(owner)
+	p.flushSoon(n)
 }
 
 func (p *play) figures() judge.Figures {
@@ -353,6 +341,7 @@
 		{Name: "over_units", Value: p.over / math.Max(1, p.units), Unit: "of units sent on"},
 		{Name: "refused", Value: p.refused / math.Max(1, p.tries), Unit: "of tries"},
 		{Name: "refused_with_room", Value: p.room / math.Max(1, p.tries), Unit: "of tries"},
+		{Name: "blind", Value: p.blind / math.Max(1, p.tries), Unit: "of tries"},
 		{Name: "tries", Value: p.tries / n / s, Unit: "a second and node"},
 		{Name: "messages", Value: p.sent / n / s, Unit: "sent a second and node"},
 		{Name: "bytes", Value: p.bytes / n / s, Unit: "sent a second and node"},
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -63,6 +63,9 @@
 			if n.peers != nil {
 				writePeers(&text, &n.peers.Counts)
 			}
+			if n.loop.sharing != nil {
+				n.loop.sharing.write(&text)
+			}
 			w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 			w.Write(text.Bytes())
 		}},
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -26,10 +26,11 @@
 
 // PeersConfig switches on that this node and others talk.
 type PeersConfig struct {
-	Label string
-	Port  int               // on the address where clients connect, for TCP and UDP
-	Seeds []string          // addresses of nodes by which the fleet is joined
-	Via   map[string]string // addresses by which this node reaches others, where they differ from those told
+	Label  string
+	Port   int               // on the address where clients connect, for TCP and UDP
+	Seeds  []string          // addresses of nodes by which the fleet is joined
+	Limits bool              // customers' stores are shared
+	Via    map[string]string // addresses by which this node reaches others, where they differ from those told
 }
 
 const peerPlaces = 16 // descriptors set apart for talk with others
@@ -112,7 +113,8 @@
 }
 
 // startPeers lets the node talk with others where the fleet file has it and the settings allow it.
-func startPeers(cfg Config) (*peer.Peers, error) {
+// Its sharing is nil where the fleet file leaves limits to each node alone.
+func startPeers(cfg Config, l *loop) (*peer.Peers, error) {
 	if cfg.Fleet == nil || cfg.Fleet.Peers == nil {
 		return nil, nil
 	}
@@ -124,9 +126,19 @@
 	if err != nil {
 		return nil, err
 	}
-	f := cfg.Fleet.Peers
-	return peer.Start(peer.Config{Label: f.Label, Name: cfg.Name, Zone: cfg.Settings.Zone, Region: cfg.Fleet.region(cfg.Settings.Zone),
-		Program: program(), Bind: net.JoinHostPort(host, strconv.Itoa(f.Port)), Seeds: f.Seeds, Via: f.Via, Seed: cfg.Seed}, slog.Default())
+	f, s := cfg.Fleet.Peers, &cfg.Settings
+	pc := peer.Config{Label: f.Label, Name: cfg.Name, Index: s.SelfIndex, Zone: s.Zone, Region: cfg.Fleet.region(s.Zone),
+		Program: program(), Bind: net.JoinHostPort(host, strconv.Itoa(f.Port)), Seeds: f.Seeds, Via: f.Via, Seed: cfg.Seed}
+	if !f.Limits {
+		return peer.Start(pc, slog.Default())
+	}
+	l.sharing = newSharing(s, l)
+	pc.Receive, pc.Changed = l.sharing.receive, l.sharing.changed
+	p, err := peer.Start(pc, slog.Default())
+	if err == nil {
+		l.sharing.start(p)
+	}
+	return p, err
 }
 
 // program names the version of this program: the commit that it was built from, where known.
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -41,7 +41,7 @@
 		t.Fatal(err)
 	}
 	cfg.Fleet = &Fleet{Peers: &PeersConfig{Label: "x", Port: 1}}
-	if p, err := startPeers(cfg); p != nil || err != nil {
+	if p, err := startPeers(cfg, nil); p != nil || err != nil {
 		t.Errorf("peers %v, %v against the settings", p, err)
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -44,6 +44,7 @@
 	stop     []context.CancelCauseFunc
 	limit    []*time.Timer // end the attempts with the client's time; nil where it has not begun
 	last     control.Reason
+	settled  bool // its true units were told to others
 }
 
 // take counts the request as taken.
@@ -139,6 +140,8 @@
 	unitsTop  float64          // of one request; 0 is not told
 	pending   []control.Event  // that the node itself caused while it acted
 	stats     *stats
+	sharing   *sharing // nil is that nodes share no limits
+	early     []func() // what the loop does first
 }
 
 func newLoop(cfg Config, up *upstream, counts *stats) (*loop, error) {
@@ -182,6 +185,9 @@
 		close(l.ended)
 		l.end()
 	}()
+	for _, f := range l.early {
+		f()
+	}
 	look := time.NewTicker(publishEvery)
 	defer look.Stop()
 	for {
@@ -251,6 +257,9 @@
 	if x.req.TTL = x.left; !x.deadline.IsZero() {
 		x.req.TTL = time.Until(x.deadline)
 	}
+	if l.sharing != nil {
+		x.req.Shared = l.sharing.known(&x.req)
+	}
 	l.handle(x.req)
 }
 
@@ -325,6 +334,9 @@
 		return
 	}
 	x.out++
+	if l.sharing != nil && n == 0 {
+		l.sharing.sent(&x.req, x.req.Units, false)
+	}
 	sent := time.Now()
 	t := &attempt{req: x.message(), first: x.body, rest: x.rest,
 		written: func() {
@@ -369,6 +381,7 @@
 	if x.limit[n] != nil {
 		x.limit[n].Stop() // its first bytes are in time; the rest takes what it takes
 	}
+	l.cost(x, o)
 	from, to := io.Pipe()
 	x.done = true
 	x.answer <- answer{status: http.StatusOK, header: o.header, body: o.body, stream: from, length: length}
@@ -379,6 +392,7 @@
 // settle takes in how an attempt ended. The first good answer is the final one.
 func (l *loop) settle(x *exchange, n int, server uint32, sent time.Time, o outcome) {
 	l.over(x, n)
+	l.cost(x, o)
 	x.out--
 	x.last = o.reason
 	r := control.Response{ID: x.req.ID, N: n, Server: server, Reason: o.reason, Delay: time.Since(sent), Spent: x.spent()}
@@ -395,6 +409,17 @@
 	l.handle(r)
 }
 
+// cost tells those who share the customer's limit the true units of a request, once.
+func (l *loop) cost(x *exchange, o outcome) {
+	if l.sharing == nil || x.settled || o.header == nil {
+		return
+	}
+	if cost := o.cost(l.unitsTop); cost > 0 {
+		x.settled = true
+		l.sharing.sent(&x.req, cost-x.req.Units, true)
+	}
+}
+
 // retire lets go of the connections to an app server, and takes new ones where it goes on.
 func (l *loop) retire(server uint32, goesOn bool) {
 	p := l.pools[server]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,7 @@
 			return nil, err
 		}
 	}
-	if n.peers, err = startPeers(cfg); err != nil {
+	if n.peers, err = startPeers(cfg, l); err != nil {
 		cancel()
 		tcp.Close()
 		return nil, err
@@ -185,14 +185,25 @@
 	return n.drain(srv, stop)
 }
 
-// part takes leave of the other nodes when ctx ends, or ends the talk with life.
+// part takes leave of the other nodes when ctx ends, and ends the talk with life: until then this
+// node serves, and tells them what it sends on.
 func (n *Node) part(ctx, life context.Context) {
 	end := n.peers.Close
 	select {
 	case <-ctx.Done():
+		if n.loop.sharing != nil {
+			n.loop.post(n.loop.sharing.leave)
+		}
+		if err := n.peers.Part(); err != nil {
+			slog.Warn("peers: leaving", "err", err)
+		}
 		end = n.peers.Leave
+		<-life.Done()
 	case <-life.Done():
 	}
+	if n.loop.sharing != nil {
+		n.loop.sharing.end()
+	}
 	if err := end(); err != nil {
 		slog.Warn("peers: leaving", "err", err)
 	}
--- /dev/null
+++ b/internal/node/sharing.go
@@ -0,0 +1,265 @@
+package node
+
+import (
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
+	"martennotch/control"
+	"martennotch/fleet/share"
+	"martennotch/internal/peer"
+)
+
+const (
+	sendQueue   = 256 // messages that wait to be sent; one beyond is lost, and its uses are sent again
+	heardMost   = 128 // messages that wait for the loop; one beyond is lost
+	customersAt = 1024
+)
+
+// sharing is the node's part in keeping customers' stores for all nodes. It belongs to the loop, but
+// for what receives and sends messages; neither waits for the other.
+type sharing struct {
+	loop  *loop
+	ex    *share.Exchange // nil until the membership has begun
+	set   *control.Settings
+	peers *peer.Peers
+	out   chan share.Out
+	done  sync.WaitGroup
+	timer *time.Timer
+	armed time.Duration // when the timer rings; zero is not
+
+	changing atomic.Bool  // news of members is on its way to the loop
+	waiting  atomic.Int64 // messages on their way to the loop
+	figures  atomic.Pointer[share.Counts]
+	registry *prometheus.Registry
+	age      prometheus.Histogram
+	spoilt, lost, lostOut,
+	known0, unknown prometheus.Counter
+}
+
+func newSharing(set *control.Settings, l *loop) *sharing {
+	s := &sharing{loop: l, set: set, out: make(chan share.Out, sendQueue), registry: prometheus.NewRegistry()}
+	s.figures.Store(&share.Counts{})
+	s.describe()
+	return s
+}
+
+// describe names the figures for the operators.
+func (s *sharing) describe() {
+	s.age = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "node_share_age_seconds",
+		Help: "Age of what was told of a store when a request was decided by it.", Buckets: []float64{.01, .05, .1, .2, .3, .5, .7, .9, 1}})
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+		s.registry.MustRegister(c)
+		return c
+	}
+	s.registry.MustRegister(s.age)
+	s.spoilt = counter("node_share_spoilt_total", "Messages of others that could not be used.")
+	s.lost = counter("node_share_dropped_total", "Messages of others dropped, as the loop had no room.")
+	s.lostOut = counter("node_share_unsent_total", "Messages that could not be sent.")
+	s.known0 = counter("node_share_known_total", "Requests whose store was known.")
+	s.unknown = counter("node_share_unknown_total", "Requests whose store was not known: decided as by one alone.")
+	for name, of := range map[string]func(*share.Counts) int64{
+		"node_share_sent_total":     func(c *share.Counts) int64 { return c.Sent },
+		"node_share_heard_total":    func(c *share.Counts) int64 { return c.Heard },
+		"node_share_late_total":     func(c *share.Counts) int64 { return c.Late },
+		"node_share_ageless_total":  func(c *share.Counts) int64 { return c.Ageless },
+		"node_share_strange_total":  func(c *share.Counts) int64 { return c.Strange },
+		"node_share_resent_total":   func(c *share.Counts) int64 { return c.Resent },
+		"node_share_repeated_total": func(c *share.Counts) int64 { return c.Repeated },
+		"node_share_untold_total":   func(c *share.Counts) int64 { return c.Untold },
+		"node_share_handed_total":   func(c *share.Counts) int64 { return c.Handed },
+		"node_share_taken_total":    func(c *share.Counts) int64 { return c.Taken },
+	} {
+		s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: "See docs/oncall.md."},
+			func() float64 { return float64(of(s.figures.Load())) }))
+	}
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "node_share_stores", Help: "Customers' stores kept here for all nodes."},
+		func() float64 { return float64(s.figures.Load().Stores) }))
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "node_share_low", Help: "Those of them that are low."},
+		func() float64 { return float64(s.figures.Load().Lows) }))
+}
+
+// write gives the figures in the text form of Prometheus.
+func (s *sharing) write(w io.Writer) {
+	families, err := s.registry.Gather()
+	if err != nil {
+		slog.Error("sharing: figures", "err", err)
+	}
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(w, f); err != nil {
+			return
+		}
+	}
+}
+
+// start begins to take part, once the membership has begun.
+func (s *sharing) start(p *peer.Peers) {
+	quotas := make(map[uint32]share.Quota)
+	for _, plan := range s.set.Plans {
+		quotas[planKey(plan.Name)] = share.Quota{Rate: plan.Rate, Depth: plan.Depth}
+	}
+	customers := s.set.Customers
+	if customers <= 0 {
+		customers = customersAt
+	}
+	s.peers = p
+	s.done.Go(s.carry)
+	s.loop.early = append(s.loop.early, func() {
+		s.ex = share.NewExchange(share.Config{Self: s.set.SelfIndex, Group: s.set.GroupSize, Life: p.Incarnation(),
+			Quotas: quotas, Customers: customers}, s.loop.now())
+		s.members()
+	})
+}
+
+func planKey(plan string) uint32 { return uint32(xxhash.Sum64String(plan)) }
+
+func customerKey(r *control.Request) uint64 {
+	return xxhash.Sum64String(r.Plan + " " + r.Customer)
+}
+
+// ---- the loop's ----
+
+// known gives what is known of the store that a request is held against; nil is nothing.
+func (s *sharing) known(r *control.Request) *control.Shared {
+	if s.ex == nil {
+		return nil
+	}
+	k, ok := s.ex.Level(s.loop.now(), customerKey(r), planKey(r.Plan), share.Set{First: r.SetStart, Spread: r.Spread})
+	if !ok {
+		s.unknown.Inc()
+		return nil
+	}
+	s.known0.Inc()
+	s.age.Observe(k.Age.Seconds())
+	return &control.Shared{Units: k.Units, Least: k.Least, Age: k.Age}
+}
+
+// sent tells of units sent on; see share.Exchange.
+func (s *sharing) sent(r *control.Request, units float64, correction bool) {
+	if s.ex == nil {
+		return
+	}
+	s.ex.Sent(s.loop.now(), customerKey(r), planKey(r.Plan), share.Set{First: r.SetStart, Spread: r.Spread}, units, correction)
+	s.arm()
+}
+
+// members takes the live members.
+func (s *sharing) members() {
+	s.changing.Store(false)
+	if s.ex == nil {
+		return
+	}
+	var nodes []share.Node
+	live, _ := s.peers.Live()
+	for _, m := range live {
+		if m.State >= peer.StateVersion {
+			nodes = append(nodes, share.Node{Index: m.Index, Life: m.Incarnation})
+		}
+	}
+	s.ex.Live(s.loop.now(), nodes)
+	s.arm()
+}
+
+// leave gives the stores held here to others.
+func (s *sharing) leave() {
+	if s.ex != nil {
+		s.ex.Leave(s.loop.now())
+		s.flush()
+	}
+}
+
+// flush sends what is due.
+func (s *sharing) flush() {
+	s.armed = 0
+	for _, o := range s.ex.Flush(s.loop.now()) {
+		select {
+		case s.out <- o:
+		default:
+			s.lostOut.Inc()
+		}
+	}
+	counts := s.ex.Figures()
+	s.figures.Store(&counts)
+	s.arm()
+}
+
+// arm has flush called when something is due.
+func (s *sharing) arm() {
+	when, ok := s.ex.Wake()
+	if !ok || s.armed != 0 && s.armed <= when {
+		return
+	}
+	s.armed = when
+	wait := max(0, when-s.loop.now())
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	s.timer = time.AfterFunc(wait, func() {
+		s.loop.post(func() {
+			if s.armed == when {
+				s.flush()
+			}
+		})
+	})
+}
+
+// ---- the membership's ----
+
+// receive takes a message; the bytes are the caller's after it.
+func (s *sharing) receive(raw []byte) {
+	m, err := share.Decode(raw, s.set.GroupSize)
+	if err != nil {
+		s.spoilt.Inc()
+		slog.Debug("sharing: a spoilt message", "bytes", len(raw), "err", err)
+		return
+	}
+	if s.waiting.Add(1) > heardMost {
+		s.waiting.Add(-1)
+		s.lost.Inc()
+		return
+	}
+	s.loop.post(func() {
+		s.waiting.Add(-1)
+		if s.ex != nil {
+			s.ex.Hear(s.loop.now(), m)
+			s.arm()
+		}
+	})
+}
+
+// changed has the loop take the live members, once for many changes.
+func (s *sharing) changed() {
+	if s.peers != nil && !s.changing.Swap(true) {
+		go s.loop.post(s.members)
+	}
+}
+
+// carry sends messages until out is closed.
+func (s *sharing) carry() {
+	for o := range s.out {
+		raw, err := o.Message.Encode()
+		if err == nil {
+			err = s.peers.Send(o.To, raw)
+		}
+		if err != nil {
+			s.lostOut.Inc()
+			slog.Debug("sharing: not sent", "to", o.To, "err", err)
+		}
+	}
+}
+
+// end ends the sending, once the loop has ended or sends no more.
+func (s *sharing) end() {
+	select {
+	case <-s.loop.ended:
+	}
+	close(s.out)
+	s.done.Wait()
+}
--- /dev/null
+++ b/internal/node/sharing_test.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"martennotch/control"
+	"martennotch/fleet/share"
+)
+
+// pair starts two nodes that know each other, and share limits or don't.
+func pair(t *testing.T, limits bool) [2]*rig {
+	var ports [2]int
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ports[i] = l.Addr().(*net.TCPAddr).Port
+		l.Close()
+	}
+	var rigs [2]*rig
+	for i := range rigs {
+		rigs[i] = newRigWith(t, func(c *Config) {
+			c.Name, c.Settings.SelfIndex, c.Settings.PeerMessages = fmt.Sprint("n", i), i, true
+			c.Fleet = &Fleet{Peers: &PeersConfig{Label: t.Name(), Port: ports[i], Seeds: []string{fmt.Sprint("127.0.0.1:", ports[1-i])}, Limits: limits}}
+		})
+	}
+	for _, r := range rigs {
+		r.wait("the other node", func() bool { return r.node.peers.Counts.Live.Load() == 1 })
+	}
+	return rigs
+}
+
+// askBasic sends a request of a small quota through both nodes' customer.
+func askBasic(r *rig, id string, units int) int {
+	req := r.call(http.MethodGet, "/roster-read", id)
+	req.Header.Set(headerPlan, "basic")
+	req.Header.Set(headerWeight, fmt.Sprintf("units=%d,spread=2,first=0", units))
+	resp, _ := r.do(req)
+	return resp.StatusCode
+}
+
+// What one node has sent on the other does not grant again; where limits are not shared it does.
+func TestNodesShareALimit(t *testing.T) {
+	for _, limits := range []bool{true, false} {
+		t.Run(fmt.Sprint(limits), func(t *testing.T) {
+			t.Parallel()
+			app := newApp(t, served)
+			rigs := pair(t, limits)
+			q := &control.Request{Plan: "basic", Customer: "00000000b4d65521", Spread: 2}
+			for _, r := range rigs {
+				r.list(app.target("a", 1))
+				if limits {
+					askBasic(r, "first", 1) // so that the store has an owner that tells of it
+					r.wait("any word", func() bool { return r.node.loop.sharing.known(q) != nil })
+				}
+			}
+			for i := 0; askBasic(rigs[0], fmt.Sprint("a", i), 1) == http.StatusOK; i++ {
+				if i > 20 {
+					t.Fatal("the store is never empty")
+				}
+			}
+			b := rigs[1]
+			if !limits {
+				if got := askBasic(b, "b", 4); got != http.StatusOK {
+					t.Errorf("a node that knows nothing answers %d", got)
+				}
+				return
+			}
+			b.wait("word of the store", func() bool {
+				s := b.node.loop.sharing.known(q)
+				return s != nil && !s.Least && s.Units < 3
+			})
+			if got := askBasic(b, "b", 4); got != http.StatusServiceUnavailable {
+				t.Errorf("a node that is told of an empty store answers %d", got)
+			}
+			var text strings.Builder
+			b.node.loop.sharing.write(&text)
+			if !strings.Contains(text.String(), "node_share_age_seconds_bucket") || !strings.Contains(text.String(), "node_share_known_total") {
+				t.Error("the figures lack age or known")
+			}
+		})
+	}
+}
+
+// Without a fleet file a node has no part of this, and tells the module nothing.
+func TestOffIsNothing(t *testing.T) {
+	r := newRig(t)
+	if n := r.node; n.peers != nil || n.loop.sharing != nil || len(n.loop.early) > 0 {
+		t.Error("a node without a fleet file talks")
+	}
+}
+
+// What the loop does more for a request where limits are shared, and the store known.
+func BenchmarkSharing(b *testing.B) {
+	q := &control.Request{Plan: "basic", Customer: "x", Spread: 3, Units: 1}
+	s := newSharing(&control.Settings{GroupSize: 3}, &loop{start: time.Now(), ended: make(chan struct{})})
+	s.ex = share.NewExchange(share.Config{Self: 0, Group: 3, Life: 1, Customers: 1000,
+		Quotas: map[uint32]share.Quota{planKey("basic"): {Rate: 1e9, Depth: 1e9}}}, s.loop.now())
+	s.ex.Live(s.loop.now(), []share.Node{{Index: 1, Life: 1}, {Index: 2, Life: 1}})
+	b.ReportAllocs()
+	for b.Loop() {
+		s.known(q)
+		s.sent(q, 1, false)
+	}
+	close(s.loop.ended)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -23,9 +24,9 @@
 )
 
 const (
-	// StateVersion is the version of what members tell each other. A node speaks to the one before
-	// and the one after it.
-	StateVersion = 1
+	// StateVersion is the version of what members tell each other. Those of version 1 tell nothing but
+	// that they are there; one that is newer may tell more, which is skipped.
+	StateVersion = 2
 
 	membersMost  = 1024 // remembered; beyond it new ones are refused
 	joinFirst    = 250 * time.Millisecond
@@ -40,17 +41,21 @@
 type Config struct {
 	Label        string // of the fleet; others are not heard
 	Name         string // the same after a restart
+	Index        int    // in the group
 	Zone, Region string
 	Program      string // its version
 	Bind         string // address for TCP and UDP, the one that others are told
 	Seeds        []string
 	Via          map[string]string // addresses to be reached by others, where links stand between
 	Seed         uint64            // of random pauses
+	Receive      func(raw []byte)  // takes what another sends, and does not wait; nil is nothing taken
+	Changed      func()            // is told that Live has changed, and does not wait; nil is nobody
 }
 
 // Member is a node as others see it.
 type Member struct {
 	Name, Address string
+	Index         int // in the group
 	Zone, Region  string
 	Program       string
 	State         int    // version of what it tells
@@ -65,6 +70,7 @@
 	State       int    `cbor:"4,keyasint"`
 	Incarnation uint64 `cbor:"5,keyasint"`
 	Leaving     bool   `cbor:"6,keyasint,omitempty"`
+	Index       int    `cbor:"7,keyasint"`
 }
 
 // Counts are figures for the operators. All are safe to read at any time.
@@ -90,7 +96,8 @@
 	mu    sync.Mutex
 	seeds []string
 	live  map[string]Member
-	epoch uint64 // grows with each change of live
+	epoch uint64                   // grows with each change of live
+	nodes map[int]*memberlist.Node // that can be sent to, by index: live, or leaving
 }
 
 // Start begins to take part. It does not wait for others: joining goes on beside.
@@ -103,8 +110,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: bind: port %q: %w", port, err)
 	}
-	p := &Peers{cfg: cfg, log: l, seeds: cfg.Seeds, live: make(map[string]Member), rng: rand.New(rand.NewPCG(cfg.Seed, 0x70656572))}
-	p.said = meta{cfg.Zone, cfg.Region, cfg.Program, StateVersion, uint64(time.Now().UnixMilli()), true}
+	p := &Peers{cfg: cfg, log: l, seeds: cfg.Seeds, live: make(map[string]Member), nodes: make(map[int]*memberlist.Node), rng: rand.New(rand.NewPCG(cfg.Seed, 0x70656572))}
+	p.said = meta{cfg.Zone, cfg.Region, cfg.Program, StateVersion, uint64(time.Now().UnixMilli()), true, cfg.Index}
 	if n := len(p.NodeMeta(memberlist.MetaMaxSize)); n == 0 {
 		return nil, errors.New("peers: the names of zone, region and program are too long")
 	}
@@ -146,6 +153,20 @@
 	return members, p.epoch
 }
 
+// Incarnation is this process's, as others see it.
+func (p *Peers) Incarnation() uint64 { return p.said.Incarnation }
+
+// Send sends a message to the member of an index, once: it may be lost.
+func (p *Peers) Send(index int, raw []byte) error {
+	p.mu.Lock()
+	to := p.nodes[index]
+	p.mu.Unlock()
+	if to == nil {
+		return fmt.Errorf("no member has index %d", index)
+	}
+	return p.list.SendBestEffort(to, raw)
+}
+
 // SetSeeds replaces the addresses by which the fleet is joined.
 func (p *Peers) SetSeeds(seeds []string) {
 	p.mu.Lock()
@@ -153,16 +174,19 @@
 	p.seeds = seeds
 }
 
-// Leave tells the others that this node goes, and ends.
-func (p *Peers) Leave() error {
+// Part tells the others that this node goes: they don't count on it any more. It goes on hearing
+// and telling until Leave or Close.
+func (p *Peers) Part() error {
 	p.mu.Lock()
 	p.said.Leaving = true
 	p.mu.Unlock()
-	// The library tells those who hear of a leave that it is a death; the word goes before it.
-	err := p.list.UpdateNode(leaveWithin)
-	return errors.Join(err, p.list.Leave(leaveWithin), p.Close())
+	return p.list.UpdateNode(leaveWithin)
 }
 
+// Leave ends after a Part. The library tells those who hear of a leave that it is a death; the word
+// has gone before it.
+func (p *Peers) Leave() error { return errors.Join(p.list.Leave(leaveWithin), p.Close()) }
+
 // Close ends without a word, as a death does.
 func (p *Peers) Close() error {
 	p.end()
@@ -227,6 +251,7 @@
 		return m, false
 	}
 	m.Zone, m.Region, m.Program, m.State, m.Incarnation = said.Zone, said.Region, said.Program, said.State, said.Incarnation
+	m.Index = said.Index
 	return m, said.Leaving
 }
 
@@ -243,8 +268,12 @@
 	return raw
 }
 
-// NotifyMsg takes messages of its own kind; there are none yet.
-func (p *Peers) NotifyMsg([]byte) { p.Counts.Spoilt.Add(1) }
+// NotifyMsg takes a message of another member; the bytes are the library's after it.
+func (p *Peers) NotifyMsg(raw []byte) {
+	if p.cfg.Receive != nil {
+		p.cfg.Receive(raw)
+	}
+}
 
 // GetBroadcasts has nothing to add to gossip.
 func (p *Peers) GetBroadcasts(int, int) [][]byte { return nil }
@@ -285,9 +314,13 @@
 	}
 	p.mu.Lock()
 	p.live[n.Name] = m
+	if to := *n; m.State >= StateVersion {
+		p.nodes[m.Index] = &to
+	}
 	p.epoch++
 	p.Counts.Live.Store(int64(len(p.live)))
 	p.mu.Unlock()
+	p.changed()
 	if count != nil {
 		count.Add(1)
 	}
@@ -295,7 +328,18 @@
 }
 
 // NotifyLeave takes a member out that is dead; one that has left is out already.
-func (p *Peers) NotifyLeave(n *memberlist.Node) { p.remove(n.Name, "dead", &p.Counts.Deaths) }
+func (p *Peers) NotifyLeave(n *memberlist.Node) {
+	p.mu.Lock()
+	maps.DeleteFunc(p.nodes, func(_ int, o *memberlist.Node) bool { return o.Name == n.Name })
+	p.mu.Unlock()
+	p.remove(n.Name, "dead", &p.Counts.Deaths)
+}
+
+func (p *Peers) changed() {
+	if p.cfg.Changed != nil {
+		p.cfg.Changed()
+	}
+}
 
 func (p *Peers) remove(name, how string, count *atomic.Int64) {
 	p.mu.Lock()
@@ -307,6 +351,7 @@
 	}
 	p.mu.Unlock()
 	if known {
+		p.changed()
 		count.Add(1)
 		p.log.Info("peers: gone", "peer", name, "how", how)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -63,7 +64,7 @@
 	if m := members[0]; m.Name != "n0" || m.Zone != "hall-a" || m.Region != "gulf" || m.State != StateVersion || m.Incarnation == 0 {
 		t.Errorf("n1 sees n0 as %+v", m)
 	}
-	if err := all[3].Leave(); err != nil {
+	if err := errors.Join(all[3].Part(), all[3].Leave()); err != nil {
 		t.Error(err)
 	}
 	until(t, "a leave", func() bool { return all[0].Counts.Leaves.Load() == 1 && all[1].Counts.Leaves.Load() == 1 })
@@ -124,7 +125,7 @@
 	path := [2]*link.Path{link.NewPath(0, 1, 0), link.NewPath(1, 0, 0)}
 	var all [2]*Peers
 	for i := range all {
-		f, err := path[i].Forward("127.0.0.1:0", ports[1-i])
+		f, err := path[i].Forward("127.0.0.1:0", ports[1-i], nil)
 		if err != nil {
 			t.Fatal(err)
 		}
