Tell other nodes of slow servers, and levels only those whose customers they are

Each node found a slow server alone.

Levels went to every node of the fleet; they now go by cells of neighbouring indices to the nodes of their customer's set alone, so that what a node hears grows with the sets.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -72,6 +72,7 @@
 	Seeds string   `help:"Seeds, as 1..5." default:"1..3"`
 	Ways  []string `help:"Ways to share." default:"alone,lease,notices"`
 	Loss  float64  `help:"Part of the messages that is lost."`
+	Set   []string `help:"Set a key of the scenario, as seconds=8." sep:"none" placeholder:"KEY=VALUE"`
 }
 
 type listCmd struct {
@@ -256,7 +257,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := scenario.Read(r.File, fmt.Sprintf("fleet.nodes = %d", r.Nodes), fmt.Sprintf("fleet.servers = %d", max(1, r.Nodes*2/3)))
+	f, err := scenario.Read(r.File, append(r.Set, fmt.Sprintf("fleet.nodes = %d", r.Nodes), fmt.Sprintf("fleet.servers = %d", max(1, r.Nodes*2/3)))...)
 	if err != nil {
 		return err
 	}
--- a/control/api.go
+++ b/control/api.go
@@ -235,6 +235,15 @@
 	Reason Reason
 }
 
+// Hearsay tells that enough other gateways, each by attempts of its own, found a server's process
+// far slower than is usual.
+type Hearsay struct {
+	Server    uint32
+	Witnesses int
+	Until     time.Duration // clock time at which it is too old
+}
+
+func (Hearsay) isEvent()     {}
 func (List) isEvent()        {}
 func (Request) isEvent()     {}
 func (Written) isEvent()     {}
--- a/control/control.go
+++ b/control/control.go
@@ -85,6 +85,9 @@
 	failGain     = 0.15             // gain of the estimate of a server's failures
 	failCost     = 5.0              // factor on a server's cost, times the square of what it is over the gain
 	failMost     = 0.75             // part from which failures speak against the server as a whole
+	toldCost     = 10.0             // factor on the cost of a server that others speak against
+	toldMost     = 0.34             // part of the servers that may be so at once
+	toldFine     = 2.0              // times the mean answer, below which an own one speaks for it
 	tieNoise     = 0.02             // random part of a cost, so that gateways do not agree on one server
 	chanceMild   = 0.25             // power of the draw by which a herd shares while servers are cold
 	herdLeast    = 8                // gateways from which each knows little of how busy a server is
@@ -196,18 +199,9 @@
 
 func (c *Controller) aside(s *server) bool { return s.strikes >= strikesOut && c.now < s.asideUntil }
 
-// Avoided tells, for the operators' figures, how many of the listed servers that run get nothing
-// now while there is another. It changes nothing.
-func (c *Controller) Avoided(now time.Duration) int {
-	return int(c.count(func(s *server) bool {
-		return s.usable() && (s.probing || s.strikes >= strikesOut && now < s.asideUntil)
-	}))
-}
-
-// floor is twice the ready servers, the least that the bound may be, or where the floors of the
-// whole group would sum up to more than a server can use, this gateway's part of that sum. Guards
-// against many gateways that jam the fleet by their floors alone; for a herd a cold server counts
-// by its warmth, so that a fleet just released is not jammed either.
+// floor is twice the ready servers, the least that the bound may be, or where the floors of the whole
+// group would sum up to more than a server can use, this gateway's part. Guards against many gateways
+// that jam the fleet by their floors alone; for a herd a cold server counts by its warmth.
 func (c *Controller) floor() float64 {
 	n := 0.0
 	for _, s := range c.order {
@@ -241,9 +235,8 @@
 	return q
 }
 
-// refill fills a customer's stores up to now. It charges nothing for use elsewhere: draw does, for
-// each unit sent here. Guards against charging that twice, which left stores empty here that were
-// half full, as most is put right only a meter period and its lateness later.
+// refill fills a customer's stores up to now. It charges nothing for use elsewhere: draw does, for each
+// unit sent here. Guards against charging that twice, which left stores empty that were half full.
 func (c *Controller) refill(q *customer) {
 	dt := (c.now - q.at).Seconds()
 	q.at = c.now
@@ -325,9 +318,8 @@
 	return math.Min(units*(1+sharedMore*(1-few)), sharedPart*depth)
 }
 
-// covered tells whether enough of the periods of a customer's use are told here, of those that
-// could be since it was first seen: a gateway that has just started is not held to have missed
-// what was before it.
+// covered tells whether enough of the periods of a customer's use are told here, of those that could be
+// since it was first seen: a gateway just started is not held to have missed what was before.
 func (c *Controller) covered(q *customer) bool {
 	could := toldAge * (1 - math.Exp(-(c.now-q.seenFrom).Seconds()/toldAge))
 	least := 1 - (1-coverLeast)*q.few()
@@ -431,9 +423,8 @@
 	q.level += (1 - few) * thinTold * math.Max(0, c.whole()*q.plan.Depth*(1-pct/100)-q.level)
 }
 
-// learn finds when the meter's periods end and how late they are told: the pair under
-// which this gateway's own sends fit best with what is told. Guards against a period
-// read many times or matched with another's sends; holds for late reports of any cause.
+// learn finds when the meter's periods end and how late they are told: the pair under which own sends
+// fit best with what is told. Guards against a period read many times or matched with another's sends.
 func (m *meterClock) learn(q *customer, used, units, part float64, now int64) {
 	least, at, lag := math.Inf(1), int64(0), int64(0)
 	var misfit [binsPeriod + lagMost]float64 // of a period that ended so many bins ago
@@ -473,9 +464,8 @@
 // openLeast is half of an even part of an open quota.
 func (q *customer) openLeast() float64 { return float64(q.plan.Open) / q.spread / 2 }
 
-// sweep forgets customers that have been idle for long and are as good as new ones; where
-// there are many it forgets sooner, and all that are idle. A ceiling's store that was not full
-// is safe then: all stores unseen fill from now.
+// sweep forgets customers that have been idle for long and are as good as new; where there are many,
+// sooner and all that are idle. A ceiling's store not full is safe then: all unseen fill from now.
 func (c *Controller) sweep() {
 	keep, most := custKeep, custMost/2
 	idle := func(_ string, q *customer) bool { return c.now-q.at > keep && q.open == 0 && q.queued == 0 }
@@ -529,10 +519,9 @@
 		max(r.aim-c.now-seconds(c.latency), tick)))
 }
 
-// waited is what the client of a try has waited for earlier tries or for this gateway. A
-// later try is told by its mark, or by a time unlike what is usual for its class; the deadline
-// over all tries then tells. Guards against first tries that a gateway that stood still finds
-// late: they lack no more than its own clock has skipped.
+// waited is what the client of a try has waited for earlier tries or for this gateway. A later try is
+// told by its mark, or by a time unusual for its class; the deadline over all tries then tells. Guards
+// against first tries that a gateway that stood still finds late: they lack what its clock skipped.
 func (c *Controller) waited(e Request, k *Class) time.Duration {
 	u := c.usual[k]
 	short := u.ttl - e.TTL
@@ -746,6 +735,9 @@
 	if !s.coldRamp && !s.home {
 		cost *= awayCost
 	}
+	if c.spoken(s) {
+		cost *= toldCost
+	}
 	f := math.Max(0, c.failing(s)-failGain) // one failure says nothing
 	return cost * (1 + failCost*f*f) * (1 + tieNoise*c.rng.Float64())
 }
@@ -783,8 +775,7 @@
 }
 
 // recall is for how long, in s, what was seen of a server counts: for some answers of each. Guards
-// against a gateway of many, which sends to each of many servers so rarely that it has forgotten
-// which of them is slow before it comes there again.
+// against a gateway of many that forgets which server is slow before it comes there again.
 func (c *Controller) recall() float64 {
 	if c.answerRate == 0 {
 		return latencyAge
@@ -792,9 +783,8 @@
 	return math.Min(recallMost, math.Max(latencyAge, recallVisits*c.usables/c.answerRate))
 }
 
-// fared takes whether an attempt at a server failed: 1 or 0. Guards against a server that fails
-// part of its requests at once: never so often in a row as to be put aside, it looks idle and
-// draws the rest.
+// fared takes whether an attempt at a server failed: 1 or 0. Guards against a server that fails part of
+// its requests at once: never often enough in a row to be put aside, it looks idle and draws the rest.
 func (c *Controller) fared(s *server, failed float64) {
 	f := c.failing(s)
 	s.failing, s.failingAt = f+failGain*(failed-f), c.now
@@ -809,9 +799,8 @@
 	return math.Min(1, math.Max(warmLeast, c.set.ColdFrom)+(1-c.set.ColdFrom)*math.Max(0, x))
 }
 
-// coldRoom holds a cold server under this gateway's part of its budget: what warm
-// servers do for this gateway, times the warmth and the multiple; one attempt at a
-// time is never more than it can do.
+// coldRoom holds a cold server under this gateway's part of its budget: what warm servers do for it,
+// times the warmth and the multiple; one attempt at a time is never more than it can do.
 func (c *Controller) coldRoom(s *server, units float64) bool {
 	if !s.coldRamp {
 		return true
@@ -859,14 +848,27 @@
 
 // strike counts a failure that speaks against the server.
 func (c *Controller) strike(s *server, n int) {
-	s.strikes += n
-	s.probing = false
+	s.strikes, s.probing = s.strikes+n, false
 	if s.strikes >= strikesOut && c.now >= s.asideUntil {
 		s.aside = min(max(asideFirst, 2*s.aside), asideMost)
 		s.asideUntil = c.now + s.aside
 	}
 }
 
+// onHearsay takes that others found a server slow. Guards against words that set most servers aside.
+func (c *Controller) onHearsay(e Hearsay) {
+	s := c.servers[e.Server]
+	if s == nil || c.now >= s.toldUntil && c.count(c.spoken) >= toldMost*c.usables {
+		return
+	}
+	s.toldAt, s.toldUntil = c.now, e.Until
+}
+
+// spoken tells whether others speak against a server, and no own answer since then for it.
+func (c *Controller) spoken(s *server) bool {
+	return c.now < s.toldUntil && !(s.latencyAt > s.toldAt && s.latency < toldFine*c.latency)
+}
+
 // ---- outcomes ----
 
 func (c *Controller) onStarted(e Started) {
@@ -999,10 +1001,9 @@
 	}
 }
 
-// again gives a request a further attempt where the rules, the attempt limit, the
-// retry budget and its time allow one; else it ends it. What failed at once took little of the
-// fleet's work, and little of the budget goes for it. Guards against a storm of errors that uses
-// the budget up while most servers still serve half of what they are sent.
+// again gives a request a further attempt where the rules, the attempt limit, the retry budget and its
+// time allow one; else it ends it. What failed at once took little work and takes little of the budget.
+// Guards against a storm of errors that uses it up while most servers still serve half.
 func (c *Controller) again(r *request, a *attempt, e Response) {
 	price, why := 1.0, e.Reason
 	if why == Errored || why == ResetByPeer || why == ConnectFailed {
@@ -1052,8 +1053,7 @@
 }
 
 func (c *Controller) onTick() {
-	c.act(Arm{After: tick, Label: tickLabel})
-	if c.now >= c.nextReport {
+	if c.act(Arm{After: tick, Label: tickLabel}); c.now >= c.nextReport {
 		c.report()
 	}
 	if c.set.OnRequest && !c.following && c.now >= c.askAt {
--- a/control/state.go
+++ b/control/state.go
@@ -147,6 +147,7 @@
 	coldRamp          bool
 	tokens            float64 // of a cold server, in units
 	tokensAt          time.Duration
+	toldAt, toldUntil time.Duration // when others spoke against it, and until when that counts
 }
 
 // span is what is counted in one control interval.
@@ -228,6 +229,14 @@
 	tally             tally
 }
 
+// Avoided tells, for the operators' figures, how many of the listed servers that run get nothing
+// now while there is another. It changes nothing.
+func (c *Controller) Avoided(now time.Duration) int {
+	return int(c.count(func(s *server) bool {
+		return s.usable() && (s.probing || s.strikes >= strikesOut && now < s.asideUntil || now < s.toldUntil)
+	}))
+}
+
 func (c *Controller) binLen() time.Duration {
 	if c.set.MeterPeriod > 0 {
 		return c.set.MeterPeriod / binsPeriod
@@ -393,6 +402,8 @@
 		}
 	case Timer:
 		c.onTimer(e.Label)
+	case Hearsay:
+		c.onHearsay(e)
 	}
 	c.pump()
 	return c.out
--- a/fleet/share/exchange.go
+++ b/fleet/share/exchange.go
@@ -48,6 +48,7 @@
 	Sent, Heard                 int64 // messages
 	Late, Ageless, Strange      int64 // refused parts: too old, of unknown age; messages of a process that is not live
 	Resent, Repeated, Untold    int64 // messages of uses sent again, counted before, and uses that no owner could be told
+	Charges, Verdicts           int64 // own charges against servers, and verdicts reached here
 	Handed, Taken, Stores, Lows int64 // stores given and taken over; stores held, and those of them that are low
 }
 
@@ -59,8 +60,8 @@
 	nodes  []int          // that are live, this one among them, in order
 	alive  []bool         // by index
 	lives  map[int]uint64 // of their processes; of one that has gone, the last
-	head   int            // that tells this node; itself where it is one
-	heads  []int
+	cells  cells
+	head   int   // that tells this node; itself where it is one
 	mine   []int // the nodes that this one tells, where it is a head
 
 	young, old map[uint64]*entry // customers met since the last rotation, and before
@@ -73,11 +74,14 @@
 	owned      map[uint64]*entry     // with stores held here
 	lows       map[uint64]*entry     // those of them that are low
 
+	court court
+
 	up     news // to be told as an owner
 	toHead news // to be told to the other heads
 	toMine news // to be told to this head's nodes
 
 	lastUse, beatAt, relayAt time.Duration // relayAt: when heads pass on next; zero is nothing to
+	reach                    int           // the largest set of a store that was held here
 	quietUntil               time.Duration // after the process stood still, or just started
 	wake                     time.Duration // the next flush; below zero is none
 }
@@ -120,28 +124,44 @@
 // news is what is to be passed on.
 type news struct {
 	levels map[uint64]at
-	owners map[int]time.Duration
+	owners map[int]told
+	words  map[word]time.Duration
 }
 
-// at is a level with the time at which it was right.
+// at is a level with the time at which it was right, and whom it is for.
 type at struct {
 	level float64
 	at    time.Duration
+	set   Set
+}
+
+// told is when an owner's low stores were all told, and whom they are for.
+type told struct {
+	at    time.Duration
+	reach int
 }
 
-func newNews() news { return news{make(map[uint64]at), make(map[int]time.Duration)} }
+func newNews() news {
+	return news{make(map[uint64]at), make(map[int]told), make(map[word]time.Duration)}
+}
+
+func (n *news) empty() bool { return len(n.levels)+len(n.owners)+len(n.words) == 0 }
 
-func (n *news) empty() bool { return len(n.levels)+len(n.owners) == 0 }
+func (n *news) level(customer uint64, v at) {
+	if o, ok := n.levels[customer]; !ok || v.at > o.at {
+		n.levels[customer] = v
+	}
+}
 
-func (n *news) level(customer uint64, level float64, when time.Duration) {
-	if o, ok := n.levels[customer]; !ok || when > o.at {
-		n.levels[customer] = at{level, when}
+func (n *news) charge(w word, when time.Duration) {
+	if o, ok := n.words[w]; !ok || when > o {
+		n.words[w] = when
 	}
 }
 
-func (n *news) owner(node int, when time.Duration) {
-	if o, ok := n.owners[node]; !ok || when > o {
-		n.owners[node] = when
+func (n *news) owner(node int, v told) {
+	if o, ok := n.owners[node]; !ok || v.at > o.at {
+		n.owners[node] = v
 	}
 }
 
@@ -149,7 +169,7 @@
 func NewExchange(cfg Config, now time.Duration) *Exchange {
 	x := &Exchange{cfg: cfg, lives: make(map[int]uint64), young: make(map[uint64]*entry), old: make(map[uint64]*entry),
 		links: make(map[int]*link), busy: make(map[int]*link), numbers: make(map[int]uint32), covered: make(map[int]time.Duration), owned: make(map[uint64]*entry), lows: make(map[uint64]*entry),
-		up: newNews(), toHead: newNews(), toMine: newNews(), rotated: now, lastUse: now - beatFor, wake: -1}
+		court: newCourt(), up: newNews(), toHead: newNews(), toMine: newNews(), rotated: now, lastUse: now - beatFor, wake: -1}
 	x.settle(now, nil)
 	return x
 }
@@ -205,14 +225,14 @@
 		x.nodes, x.alive[n.Index], x.lives[n.Index] = append(x.nodes, n.Index), true, n.Life
 	}
 	slices.Sort(x.nodes)
-	x.heads = heads(x.nodes)
-	x.head = headOf(x.cfg.Self, x.heads)
-	x.mine = x.mine[:0]
+	x.cells = newCells(x.cfg.Group, x.nodes)
+	own := x.cells.of(x.cfg.Self)
+	x.head, x.mine = x.cells.heads[own], x.mine[:0]
 	if x.head != x.cfg.Self {
 		return
 	}
 	for _, n := range x.nodes {
-		if n != x.cfg.Self && headOf(n, x.heads) == x.cfg.Self {
+		if n != x.cfg.Self && x.cells.of(n) == own {
 			x.mine = append(x.mine, n)
 		}
 	}
@@ -397,7 +417,7 @@
 	if x.beatAt == 0 || x.lastUse+beatFor < now {
 		x.beatAt = now + batch
 	}
-	x.lastUse = now
+	x.lastUse, x.reach = now, max(x.reach, min(e.set.Spread, x.cfg.Group-1))
 	x.wakeBy(max(x.beatAt, x.quietUntil))
 	x.due(e, now)
 }
@@ -405,7 +425,7 @@
 // due has a store told where that is due.
 func (x *Exchange) due(e *entry, now time.Duration) {
 	if level, ok := e.store.Due(now); ok {
-		x.up.level(e.key, level, now)
+		x.up.level(e.key, at{level, now, e.set})
 		x.beatAt = min(x.beatAt, now+batch)
 		x.wakeBy(max(x.beatAt, x.quietUntil))
 	}
@@ -472,7 +492,7 @@
 	if m.Seq > 0 {
 		x.counted(l, m, now)
 	}
-	if len(m.Levels)+len(m.Owners) > 0 {
+	if len(m.Levels)+len(m.Owners)+len(m.Charges) > 0 {
 		x.learn(l, m, now)
 		if !l.spoken || now > l.spokenAt+echoEach {
 			x.dueBy(m.From, now) // so that it can tell ages
@@ -531,7 +551,17 @@
 			continue
 		}
 		x.hears(v, when, now)
-		x.passOn(m.Hop, func(n *news) { n.level(v.Customer, float64(v.Units), when) }, now)
+		x.passOn(m.Hop, func(n *news) { n.level(v.Customer, at{float64(v.Units), when, Set{v.First, v.Spread}}) }, now)
+	}
+	for _, c := range m.Charges {
+		when := sent - time.Duration(c.Age)*time.Millisecond
+		if when+VerdictLife < now {
+			x.Counts.Late++
+			continue
+		}
+		w := word{Server{c.Key, c.Boot}, c.Node}
+		x.court.hear(w, when)
+		x.passOn(m.Hop, func(n *news) { n.charge(w, when) }, now)
 	}
 	for _, o := range m.Owners {
 		when := sent - time.Duration(o.Age)*time.Millisecond
@@ -540,7 +570,7 @@
 			continue
 		}
 		x.covered[o.Node] = max(x.covered[o.Node], when)
-		x.passOn(m.Hop, func(n *news) { n.owner(o.Node, when) }, now)
+		x.passOn(m.Hop, func(n *news) { n.owner(o.Node, told{when, o.Reach}) }, now)
 	}
 }
 
@@ -605,6 +635,7 @@
 		x.quietUntil = now + Life/2
 	}
 	x.wake = -1
+	x.look(now)
 	var out []Out
 	out = x.beat(now, out)
 	out = x.relay(now, out)
@@ -638,8 +669,8 @@
 	if l.ack {
 		m.Acked, l.ack = l.counted, false
 		for _, key := range slices.Sorted(maps.Keys(l.levels)) {
-			if e := l.levels[key]; e.store != nil {
-				m.Levels = append(m.Levels, Level{Customer: key, Units: float32(e.store.Level(now))})
+			if e := l.levels[key]; e.store != nil && len(m.Levels) < ackedMost {
+				m.Levels = append(m.Levels, Level{Customer: key, First: e.set.First, Spread: e.set.Spread, Units: float32(e.store.Level(now))})
 			}
 		}
 		clear(l.levels)
@@ -647,7 +678,7 @@
 	if l.flying == nil && len(l.pending)+len(l.hands) > 0 {
 		x.seq++
 		m.Seq = x.seq
-		n := min(len(l.hands), usesMost/2)
+		n := min(len(l.hands), usesMost-ackedMost)
 		m.Hands, l.hands = l.hands[:n:n], l.hands[n:]
 		for _, key := range slices.Sorted(maps.Keys(l.pending)) {
 			if len(m.Uses)+n >= usesMost {
@@ -657,6 +688,9 @@
 			delete(l.pending, key)
 		}
 		l.flying, l.flewAt = &Message{Seq: m.Seq, Uses: m.Uses, Hands: m.Hands}, now
+		if len(l.pending)+len(l.hands) > 0 {
+			x.dueBy(node, now+batch)
+		}
 	}
 	return append(out, x.stamp(node, m, now))
 }
@@ -675,16 +709,19 @@
 	for _, key := range slices.Sorted(maps.Keys(x.lows)) {
 		x.due(x.lows[key], now)
 	}
-	x.up.owner(x.cfg.Self, now)
+	x.up.owner(x.cfg.Self, told{now, x.reach})
 	if x.head == x.cfg.Self {
 		for key, v := range x.up.levels {
-			x.passOn(1, func(n *news) { n.level(key, v.level, v.at) }, now)
+			x.passOn(1, func(n *news) { n.level(key, v) }, now)
+		}
+		for w, when := range x.up.words {
+			x.passOn(1, func(n *news) { n.charge(w, when) }, now)
 		}
-		x.passOn(1, func(n *news) { n.owner(x.cfg.Self, now) }, now)
+		x.passOn(1, func(n *news) { n.owner(x.cfg.Self, told{now, x.reach}) }, now)
 		x.up = newNews()
 		return out
 	}
-	return x.drain(&x.up, 1, []int{x.head}, now, out)
+	return x.drain(x.up.sheet(now), 1, x.head, func(Set) bool { return true }, now, out)
 }
 
 // relay passes on, as a head, what has come.
@@ -697,41 +734,71 @@
 		return out
 	}
 	x.relayAt = 0
-	var others []int
-	for _, h := range x.heads {
-		if h != x.cfg.Self {
-			others = append(others, h)
+	toHead, toMine := x.toHead.sheet(now), x.toMine.sheet(now)
+	for cell, h := range x.cells.heads {
+		if h >= 0 && h != x.cfg.Self {
+			out = x.drain(toHead, 2, h, func(s Set) bool { return x.cells.meets(s, cell) }, now, out)
 		}
 	}
-	out = x.drain(&x.toHead, 2, others, now, out)
-	return x.drain(&x.toMine, hopLast, x.mine, now, out)
+	for _, n := range x.mine {
+		out = x.drain(toMine, hopLast, n, func(s Set) bool { return s.holds(n, x.cfg.Group) }, now, out)
+	}
+	return out
+}
+
+// sheet is news in the form and order in which it is sent.
+type sheet struct {
+	levels  []Level
+	owners  []Told
+	charges []Charge
 }
 
-// drain sends news to some nodes, in messages that each fit a datagram.
-func (x *Exchange) drain(n *news, hop int, to []int, now time.Duration, out []Out) []Out {
+// sheet takes all news, which are empty after.
+func (n *news) sheet(now time.Duration) (s sheet) {
 	age := func(when time.Duration) uint32 {
 		return uint32(math.Ceil(float64(max(0, now-when)) / float64(time.Millisecond)))
 	}
-	var levels []Level
 	for _, key := range slices.Sorted(maps.Keys(n.levels)) {
-		levels = append(levels, Level{Customer: key, Units: float32(n.levels[key].level), Age: age(n.levels[key].at)})
+		v := n.levels[key]
+		s.levels = append(s.levels, Level{Customer: key, First: v.set.First, Spread: v.set.Spread, Units: float32(v.level), Age: age(v.at)})
 	}
-	var owners []Told
 	for _, node := range slices.Sorted(maps.Keys(n.owners)) {
-		owners = append(owners, Told{Node: node, Age: age(n.owners[node])})
+		s.owners = append(s.owners, Told{Node: node, Reach: n.owners[node].reach, Age: age(n.owners[node].at)})
+	}
+	for _, w := range slices.SortedFunc(maps.Keys(n.words), cmpWord) {
+		s.charges = append(s.charges, Charge{Key: w.server.Key, Boot: w.server.Boot, Node: w.node, Age: age(n.words[w])})
 	}
 	*n = newNews()
-	// Levels go before the word that all are told.
-	for len(levels)+len(owners) > 0 {
-		a, b := min(len(levels), levelsMost), 0
-		if a == len(levels) {
-			b = min(len(owners), ownersMost)
+	return s
+}
+
+// drain sends a node what of some news is for it, in messages that each fit a datagram. Words against
+// servers are for all.
+func (x *Exchange) drain(s sheet, hop, to int, wants func(Set) bool, now time.Duration, out []Out) []Out {
+	var levels []Level
+	for _, l := range s.levels {
+		if wants(Set{l.First, l.Spread}) {
+			levels = append(levels, l)
 		}
-		for _, node := range to {
-			m := &Message{Hop: hop, Levels: levels[:a], Owners: owners[:b]}
-			out = append(out, x.stamp(node, m, now))
+	}
+	var owners []Told
+	for _, o := range s.owners {
+		if wants(around(o.Node, o.Reach, x.cfg.Group)) {
+			owners = append(owners, o)
+		}
+	}
+	// Charges go first, alone, and levels before the word that all are told.
+	for charges := s.charges; len(levels)+len(owners)+len(charges) > 0; {
+		m := &Message{Hop: hop}
+		if c := min(len(charges), chargesMost); c > 0 {
+			m.Charges, charges = charges[:c], charges[c:]
+		} else if a := min(len(levels), levelsMost); a < len(levels) {
+			m.Levels, levels = levels[:a], levels[a:]
+		} else {
+			b := min(len(owners), ownersMost)
+			m.Levels, m.Owners, levels, owners = levels, owners[:b], nil, owners[b:]
 		}
-		levels, owners = levels[a:], owners[b:]
+		out = append(out, x.stamp(to, m, now))
 	}
 	return out
 }
--- a/fleet/share/message.go
+++ b/fleet/share/message.go
@@ -11,9 +11,10 @@
 const (
 	// MessageMost is the bytes of a message at most: a datagram that no link splits.
 	MessageMost = 1300
-	usesMost    = 40  // in a message
-	levelsMost  = 36  // in a message, beside ownersMost
-	ownersMost  = 60  // in a message
+	usesMost    = 25  // and stores, in a message
+	ackedMost   = 12  // levels beside the word that uses were counted
+	levelsMost  = 28  // in a message, beside ownersMost
+	ownersMost  = 36  // in a message
 	unitsMost   = 1e6 // of a use or a level; more can't be
 	ageMost     = 60_000
 )
@@ -30,13 +31,14 @@
 	EchoLife uint32 `cbor:"5,keyasint,omitempty"`
 	Held     uint32 `cbor:"6,keyasint,omitempty"`
 
-	Seq    uint32  `cbor:"7,keyasint,omitempty"` // of Uses and Hands, to be counted once; 0 is none
-	Acked  uint32  `cbor:"8,keyasint,omitempty"` // the receiver's Seq that was counted last
-	Uses   []Use   `cbor:"9,keyasint,omitempty"`
-	Hands  []Hand  `cbor:"10,keyasint,omitempty"`
-	Hop    int     `cbor:"11,keyasint,omitempty"` // that Levels and Owners have come; 0 is from the owner alone
-	Levels []Level `cbor:"12,keyasint,omitempty"`
-	Owners []Told  `cbor:"13,keyasint,omitempty"`
+	Seq     uint32   `cbor:"7,keyasint,omitempty"` // of Uses and Hands, to be counted once; 0 is none
+	Acked   uint32   `cbor:"8,keyasint,omitempty"` // the receiver's Seq that was counted last
+	Uses    []Use    `cbor:"9,keyasint,omitempty"`
+	Hands   []Hand   `cbor:"10,keyasint,omitempty"`
+	Hop     int      `cbor:"11,keyasint,omitempty"` // that Levels and Owners have come; 0 is from the owner alone
+	Levels  []Level  `cbor:"12,keyasint,omitempty"`
+	Owners  []Told   `cbor:"13,keyasint,omitempty"`
+	Charges []Charge `cbor:"14,keyasint,omitempty"`
 }
 
 // Use is the units that one node has sent on for a customer since it told its owner last; below
@@ -65,15 +67,18 @@
 type Level struct {
 	_        struct{} `cbor:",toarray"`
 	Customer uint64
+	First    int // of its set
+	Spread   int
 	Units    float32
 	Age      uint32 // ms
 }
 
 // Told is an owner all of whose low stores were told by a time.
 type Told struct {
-	_    struct{} `cbor:",toarray"`
-	Node int
-	Age  uint32 // ms
+	_     struct{} `cbor:",toarray"`
+	Node  int
+	Reach int    // how far from it, by index, its customers' sets go
+	Age   uint32 // ms
 }
 
 var (
@@ -117,7 +122,8 @@
 	if !node(m.From) || m.Number == 0 || m.Hop < 0 || m.Hop > hopLast || m.Seq == 0 && len(m.Uses)+len(m.Hands) > 0 {
 		return errors.New("a head that can't be")
 	}
-	if len(m.Uses) > usesMost || len(m.Hands) > usesMost || len(m.Levels) > 2*usesMost+levelsMost || len(m.Owners) > ownersMost {
+	if len(m.Uses) > usesMost || len(m.Hands) > usesMost || len(m.Levels) > levelsMost || len(m.Owners) > ownersMost ||
+		len(m.Charges) > chargesMost {
 		return errors.New("more in a message than there can be")
 	}
 	for _, u := range m.Uses {
@@ -131,12 +137,17 @@
 		}
 	}
 	for _, l := range m.Levels {
-		if !units(l.Units) || l.Age > ageMost {
+		if !set(l.First, l.Spread) || !units(l.Units) || l.Age > ageMost {
 			return errors.New("a level that can't be")
 		}
 	}
+	for _, c := range m.Charges {
+		if !node(c.Node) || c.Age > ageMost {
+			return errors.New("a charge that can't be")
+		}
+	}
 	for _, o := range m.Owners {
-		if !node(o.Node) || o.Age > ageMost {
+		if !node(o.Node) || !node(o.Reach) || o.Age > ageMost {
 			return errors.New("an owner that can't be")
 		}
 	}
--- a/fleet/share/owner.go
+++ b/fleet/share/owner.go
@@ -1,10 +1,8 @@
 package share
 
 import (
-	"cmp"
 	"encoding/binary"
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -40,30 +38,51 @@
 	return owner, 2*n > s.Spread
 }
 
+// holds tells whether a node is one of a set.
+func (s Set) holds(node, group int) bool { return (node-s.First+group)%group < s.Spread }
+
+// meets tells whether a set has one of the nodes from lo up to hi.
+func (s Set) meets(lo, hi, group int) bool {
+	return s.Spread > 0 && (s.holds(lo, group) || (s.First-lo+group)%group < hi-lo)
+}
+
+// around is the set of all nodes that are within a reach of one.
+func around(node, reach, group int) Set {
+	if 2*reach+1 >= group {
+		return Set{0, group}
+	}
+	return Set{(node - reach + group) % group, 2*reach + 1}
+}
+
 // headMatter ranks nodes as heads; no customer's key is likely to be the same.
 const headMatter = 0x6865616473
 
-// heads gives the nodes that pass on what owners tell: about as many as each then tells members, so
-// that what one node sends grows with the root of the fleet. Nodes are in order.
-func heads(nodes []int) []int {
-	byRank := slices.SortedFunc(slices.Values(nodes), func(a, b int) int {
-		return cmp.Or(cmp.Compare(weight(headMatter, b), weight(headMatter, a)), cmp.Compare(a, b))
-	})
-	byRank = byRank[:int(math.Ceil(math.Sqrt(float64(len(nodes)))))]
-	slices.Sort(byRank)
-	return byRank
+// cells is how nodes are told: in cells of as many neighbours by index as there are cells, about, so
+// that what one node sends grows with the root of the fleet. Each has a head, the live node of the
+// highest rank; a change moves the head of one cell at most.
+type cells struct {
+	group, width int
+	heads        []int // by cell; below zero is none live
 }
 
-// headOf gives the head that tells a node, itself where it is one.
-func headOf(node int, heads []int) int {
-	if _, is := slices.BinarySearch(heads, node); is {
-		return node
+func newCells(group int, nodes []int) cells {
+	c := cells{group: group, width: int(math.Ceil(math.Sqrt(float64(group))))}
+	c.heads = make([]int, (group+c.width-1)/c.width)
+	for i := range c.heads {
+		c.heads[i] = -1
 	}
-	best, most := -1, uint64(0)
-	for _, h := range heads {
-		if w := weight(headMatter+1+uint64(node), h); best < 0 || w > most {
-			best, most = h, w
+	for _, n := range nodes {
+		if h := &c.heads[c.of(n)]; *h < 0 || weight(headMatter, n) > weight(headMatter, *h) {
+			*h = n
 		}
 	}
-	return best
+	return c
+}
+
+// of gives a node's cell.
+func (c *cells) of(node int) int { return node / c.width }
+
+// meets tells whether a set has nodes of a cell.
+func (c *cells) meets(s Set, cell int) bool {
+	return s.meets(cell*c.width, min(c.group, (cell+1)*c.width), c.group)
 }
--- a/fleet/share/share_test.go
+++ b/fleet/share/share_test.go
@@ -172,3 +172,35 @@
 		x.Flush(2 * time.Second)
 	})
 }
+
+// A set meets the nodes of a range where it holds one of them, and each live node has a live head of
+// its own cell.
+func TestSetsAndCells(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		group := rapid.IntRange(1, 50).Draw(t, "group")
+		s := Set{rapid.IntRange(0, group-1).Draw(t, "first"), rapid.IntRange(1, group).Draw(t, "spread")}
+		lo := rapid.IntRange(0, group-1).Draw(t, "lo")
+		hi := rapid.IntRange(lo+1, group).Draw(t, "hi")
+		meets := false
+		for n := lo; n < hi; n++ {
+			meets = meets || s.holds(n, group)
+		}
+		if got := s.meets(lo, hi, group); got != meets {
+			t.Fatalf("set %v of %d meets %d to %d: %v", s, group, lo, hi, got)
+		}
+		node, reach := rapid.IntRange(0, group-1).Draw(t, "node"), rapid.IntRange(0, group-1).Draw(t, "reach")
+		for n := range group {
+			d := min((n-node+group)%group, (node-n+group)%group)
+			if got := around(node, reach, group).holds(n, group); got != (d <= reach) {
+				t.Fatalf("%d within %d of %d in %d: %v", n, reach, node, group, got)
+			}
+		}
+		live := rapid.SliceOfNDistinct(rapid.IntRange(0, group-1), 1, group, rapid.ID).Draw(t, "live")
+		c := newCells(group, live)
+		for _, n := range live {
+			if h := c.heads[c.of(n)]; h < 0 || c.of(h) != c.of(n) {
+				t.Fatalf("node %d has head %d", n, h)
+			}
+		}
+	})
+}
--- a/internal/lab/judge/price.go
+++ b/internal/lab/judge/price.go
@@ -122,11 +122,42 @@
 	j.add("handshakes", float64(j.book.Opened)/max(n, 1), "a try")
 	j.add("p50", float64(h.ValueAtQuantile(50))/1000, "ms")
 	j.add("p99", float64(h.ValueAtQuantile(99))/1000, "ms")
+	j.slowed()
 	j.usage(n)
 	j.membership()
 	j.lateness()
 }
 
+// slowedAfter and slowedSpan are when, after a server turned slow, its sends are counted, and for how
+// long; and how long before.
+const (
+	slowedAfter = time.Second
+	slowedSpan  = 3 * time.Second
+)
+
+// slowed adds what servers that turned slow still got a second after, of what they got before.
+func (j *judge) slowed() {
+	var before, after float64
+	for _, f := range j.day.Faults {
+		if f.Kind != "slow" || f.For < slowedAfter+slowedSpan {
+			continue
+		}
+		for _, t := range j.book.Order {
+			for _, x := range t.Attempts {
+				if !slices.Contains(f.Targets, x.Server) {
+					continue
+				}
+				since := x.First - f.At
+				before += btof(since >= -slowedSpan && since < 0)
+				after += btof(since >= slowedAfter && since < slowedAfter+slowedSpan)
+			}
+		}
+	}
+	if before > 0 {
+		j.add("slowed_kept", after/before, "of the sends to servers that turned slow")
+	}
+}
+
 // membership adds how long after the last fault the nodes' views of each other were right for good,
 // and what their talk came to. A play in which nodes do not talk has neither.
 func (j *judge) membership() {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -26,11 +26,12 @@
 
 // PeersConfig switches on that this node and others talk.
 type PeersConfig struct {
-	Label  string
-	Port   int               // on the address where clients connect, for TCP and UDP
-	Seeds  []string          // addresses of nodes by which the fleet is joined
-	Limits bool              // customers' stores are shared
-	Via    map[string]string // addresses by which this node reaches others, where they differ from those told
+	Label    string
+	Verdicts bool              // which rating servers are far slower than is usual is told
+	Port     int               // on the address where clients connect, for TCP and UDP
+	Seeds    []string          // addresses of nodes by which the fleet is joined
+	Limits   bool              // customers' stores are shared
+	Via      map[string]string // addresses by which this node reaches others, where they differ from those told
 }
 
 const peerPlaces = 16 // descriptors set apart for talk with others
@@ -129,10 +130,10 @@
 	f, s := cfg.Fleet.Peers, &cfg.Settings
 	pc := peer.Config{Label: f.Label, Name: cfg.Name, Index: s.SelfIndex, Zone: s.Zone, Region: cfg.Fleet.region(s.Zone),
 		Program: program(), Bind: net.JoinHostPort(host, strconv.Itoa(f.Port)), Seeds: f.Seeds, Via: f.Via, Seed: cfg.Seed}
-	if !f.Limits {
+	if !f.Limits && !f.Verdicts {
 		return peer.Start(pc, slog.Default())
 	}
-	l.sharing = newSharing(s, l)
+	l.sharing = newSharing(s, *f, l)
 	pc.Receive, pc.Changed = l.sharing.receive, l.sharing.changed
 	p, err := peer.Start(pc, slog.Default())
 	if err == nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -44,7 +44,8 @@
 	stop     []context.CancelCauseFunc
 	limit    []*time.Timer // end the attempts with the client's time; nil where it has not begun
 	last     control.Reason
-	settled  bool // its true units were told to others
+	settled  bool     // its true units were told to others
+	watched  []uint64 // numbers of the attempts, where verdicts are shared
 }
 
 // take counts the request as taken.
@@ -328,14 +329,20 @@
 		}
 	}
 	x.stop, x.limit = append(x.stop, stop), append(x.limit, limit)
+	if l.sharing != nil {
+		x.watched = append(x.watched, 0)
+	}
 	if to == nil || x.done || ctx.Err() != nil || x.spent() || l.sendCap > 0 && x.sends > l.sendCap {
 		l.over(x, n)
 		l.pending = append(l.pending, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: control.Moot, Done: x.done, Spent: x.spent()})
 		return
 	}
 	x.out++
-	if l.sharing != nil && n == 0 {
-		l.sharing.sent(&x.req, x.req.Units, false)
+	if l.sharing != nil {
+		x.watched[n] = l.sharing.began(a.Server)
+		if n == 0 {
+			l.sharing.sent(&x.req, x.req.Units, false)
+		}
 	}
 	sent := time.Now()
 	t := &attempt{req: x.message(), first: x.body, rest: x.rest,
@@ -393,6 +400,9 @@
 func (l *loop) settle(x *exchange, n int, server uint32, sent time.Time, o outcome) {
 	l.over(x, n)
 	l.cost(x, o)
+	if l.sharing != nil {
+		l.sharing.ended(x.watched[n], o.reason == control.OK)
+	}
 	x.out--
 	x.last = o.reason
 	r := control.Response{ID: x.req.ID, N: n, Server: server, Reason: o.reason, Delay: time.Since(sent), Spent: x.spent()}
@@ -446,6 +456,9 @@
 			id = l.lastID
 			l.ids[t.UID] = id
 		}
+		if l.sharing != nil {
+			l.sharing.listed(id, t)
+		}
 		m := t.member(id)
 		e.Members = append(e.Members, m)
 		listed[t.UID] = m.Condition != control.Off
@@ -460,6 +473,9 @@
 		if is, told := listed[uid]; told && !is || !told && kind != control.Patch {
 			l.retire(id, false)
 			delete(l.ids, uid)
+			if l.sharing != nil {
+				l.sharing.listed(id, nil)
+			}
 		}
 	}
 	l.handle(e)
--- a/internal/node/sharing.go
+++ b/internal/node/sharing.go
@@ -28,6 +28,10 @@
 	loop  *loop
 	ex    *share.Exchange // nil until the membership has begun
 	set   *control.Settings
+	on    PeersConfig             // what is shared
+	uids  map[uint32]share.Server // of the listed rating servers
+	ids   map[share.Server]uint32
+	tries uint64 // attempts that were watched
 	peers *peer.Peers
 	out   chan share.Out
 	done  sync.WaitGroup
@@ -43,8 +47,8 @@
 	known0, unknown prometheus.Counter
 }
 
-func newSharing(set *control.Settings, l *loop) *sharing {
-	s := &sharing{loop: l, set: set, out: make(chan share.Out, sendQueue), registry: prometheus.NewRegistry()}
+func newSharing(set *control.Settings, on PeersConfig, l *loop) *sharing {
+	s := &sharing{loop: l, set: set, on: on, uids: make(map[uint32]share.Server), ids: make(map[share.Server]uint32), out: make(chan share.Out, sendQueue), registry: prometheus.NewRegistry()}
 	s.figures.Store(&share.Counts{})
 	s.describe()
 	return s
@@ -74,6 +78,8 @@
 		"node_share_resent_total":   func(c *share.Counts) int64 { return c.Resent },
 		"node_share_repeated_total": func(c *share.Counts) int64 { return c.Repeated },
 		"node_share_untold_total":   func(c *share.Counts) int64 { return c.Untold },
+		"node_share_charges_total":  func(c *share.Counts) int64 { return c.Charges },
+		"node_share_verdicts_total": func(c *share.Counts) int64 { return c.Verdicts },
 		"node_share_handed_total":   func(c *share.Counts) int64 { return c.Handed },
 		"node_share_taken_total":    func(c *share.Counts) int64 { return c.Taken },
 	} {
@@ -128,7 +134,7 @@
 
 // known gives what is known of the store that a request is held against; nil is nothing.
 func (s *sharing) known(r *control.Request) *control.Shared {
-	if s.ex == nil {
+	if s.ex == nil || !s.on.Limits {
 		return nil
 	}
 	k, ok := s.ex.Level(s.loop.now(), customerKey(r), planKey(r.Plan), share.Set{First: r.SetStart, Spread: r.Spread})
@@ -143,13 +149,55 @@
 
 // sent tells of units sent on; see share.Exchange.
 func (s *sharing) sent(r *control.Request, units float64, correction bool) {
-	if s.ex == nil {
+	if s.ex == nil || !s.on.Limits {
 		return
 	}
 	s.ex.Sent(s.loop.now(), customerKey(r), planKey(r.Plan), share.Set{First: r.SetStart, Spread: r.Spread}, units, correction)
 	s.arm()
 }
 
+// listed takes an entry of the list, or that one is gone.
+func (s *sharing) listed(id uint32, t *target) {
+	if old, ok := s.uids[id]; ok {
+		delete(s.ids, old)
+		delete(s.uids, id)
+	}
+	if t != nil {
+		v := share.Server{Key: xxhash.Sum64String(t.UID), Boot: uint64(max(0, t.BootMS))}
+		s.uids[id], s.ids[v] = v, id
+	}
+}
+
+// began watches an attempt; the number is its for ended, 0 where it is not watched.
+func (s *sharing) began(server uint32) uint64 {
+	v, ok := s.uids[server]
+	if s.ex == nil || !s.on.Verdicts || !ok {
+		return 0
+	}
+	s.tries++
+	s.ex.Began(s.loop.now(), s.tries, v)
+	s.arm()
+	return s.tries
+}
+
+// ended takes how an attempt that was watched ended.
+func (s *sharing) ended(number uint64, answered bool) {
+	if number > 0 {
+		s.ex.Ended(s.loop.now(), number, answered)
+		s.arm()
+	}
+}
+
+// judge tells the module of servers against which enough nodes speak.
+func (s *sharing) judge() {
+	for _, v := range s.ex.Verdicts(s.loop.now(), len(s.ids)) {
+		if id, ok := s.ids[v.Server]; ok {
+			slog.Info("sharing: others speak against a server", "server", id, "witnesses", v.Witnesses)
+			s.loop.handle(control.Hearsay{Server: id, Witnesses: v.Witnesses, Until: v.At + share.VerdictLife})
+		}
+	}
+}
+
 // members takes the live members.
 func (s *sharing) members() {
 	s.changing.Store(false)
@@ -185,6 +233,7 @@
 			s.lostOut.Inc()
 		}
 	}
+	s.judge()
 	counts := s.ex.Figures()
 	s.figures.Store(&counts)
 	s.arm()
@@ -229,6 +278,7 @@
 		s.waiting.Add(-1)
 		if s.ex != nil {
 			s.ex.Hear(s.loop.now(), m)
+			s.judge()
 			s.arm()
 		}
 	})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,8 @@
 	// that they are there; one that is newer may tell more, which is skipped.
 	StateVersion = 2
 
+	aloneVersion = 1 // of one that takes nothing
+
 	membersMost  = 1024 // remembered; beyond it new ones are refused
 	joinFirst    = 250 * time.Millisecond
 	joinMost     = 4 * time.Second  // between two tries to join while alone
@@ -111,7 +113,11 @@
 		return nil, fmt.Errorf("peers: bind: port %q: %w", port, err)
 	}
 	p := &Peers{cfg: cfg, log: l, seeds: cfg.Seeds, live: make(map[string]Member), nodes: make(map[int]*memberlist.Node), rng: rand.New(rand.NewPCG(cfg.Seed, 0x70656572))}
-	p.said = meta{cfg.Zone, cfg.Region, cfg.Program, StateVersion, uint64(time.Now().UnixMilli()), true, cfg.Index}
+	state := StateVersion
+	if cfg.Receive == nil {
+		state = aloneVersion
+	}
+	p.said = meta{cfg.Zone, cfg.Region, cfg.Program, state, uint64(time.Now().UnixMilli()), true, cfg.Index}
 	if n := len(p.NodeMeta(memberlist.MetaMaxSize)); n == 0 {
 		return nil, errors.New("peers: the names of zone, region and program are too long")
 	}
