Keep what a node has learnt on a disk that outlives its process

A process that ended started from nothing: full bursts again, slow servers unknown, an old list. Where a fleet file names a state folder the node now writes one checked file beside its loop: what it has learnt, the list, and for each customer a mark that goes to the disk ahead of the grants it covers. Off without state.dir: no file, no goroutine.

TestStoresOutliveTheProcess refuses after a planned end and after a kill what a node without a state grants again.

A process that takes the clients' socket over while the one before has the peers' address waits for it instead of refusing to start.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -67,12 +67,13 @@
 }
 
 type virtualCmd struct {
-	File  string   `arg:"" help:"The scenario."`
-	Nodes int      `help:"Nodes of the fleet; servers grow with them." default:"300"`
-	Seeds string   `help:"Seeds, as 1..5." default:"1..3"`
-	Ways  []string `help:"Ways to share." default:"alone,lease,notices"`
-	Loss  float64  `help:"Part of the messages that is lost."`
-	Set   []string `help:"Set a key of the scenario, as seconds=8." sep:"none" placeholder:"KEY=VALUE"`
+	File   string   `arg:"" help:"The scenario."`
+	Nodes  []int    `help:"Sizes of the fleet, in nodes; servers grow with them." default:"300"`
+	Report string   `help:"Draw how each figure grows with the size into this folder." type:"path"`
+	Seeds  string   `help:"Seeds, as 1..5." default:"1..3"`
+	Ways   []string `help:"Ways to share." default:"alone,lease,notices"`
+	Loss   float64  `help:"Part of the messages that is lost."`
+	Set    []string `help:"Set a key of the scenario, as seconds=8." sep:"none" placeholder:"KEY=VALUE"`
 }
 
 type listCmd struct {
@@ -257,24 +258,45 @@
 	if err != nil {
 		return err
 	}
-	f, err := scenario.Read(r.File, append(r.Set, fmt.Sprintf("fleet.nodes = %d", r.Nodes), fmt.Sprintf("fleet.servers = %d", max(1, r.Nodes*2/3)))...)
+	sizes := map[virtual.Way][][]judge.Figures{}
+	for _, nodes := range r.Nodes {
+		plays, err := r.plays(nodes, from, to, ways)
+		if err != nil {
+			return err
+		}
+		for _, w := range ways {
+			sizes[w] = append(sizes[w], plays[w])
+			report.Spreads(os.Stdout, fmt.Sprintf("%s, %d nodes, %d seeds", w, nodes, to-from+1), plays[w])
+		}
+	}
+	if r.Report == "" {
+		return nil
+	}
+	for _, w := range ways {
+		if err := report.Growth(filepath.Join(r.Report, string(w)), r.Nodes, sizes[w], "messages", "bytes", "age_p99", "over_units", "refused_with_room"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plays plays all seeds at one size of the fleet.
+func (r *virtualCmd) plays(nodes int, from, to uint64, ways []virtual.Way) (map[virtual.Way][]judge.Figures, error) {
+	f, err := scenario.Read(r.File, append(r.Set, fmt.Sprintf("fleet.nodes = %d", nodes), fmt.Sprintf("fleet.servers = %d", max(1, nodes*2/3)))...)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	plays := map[virtual.Way][]judge.Figures{}
 	for seed := from; seed <= to; seed++ {
 		d, err := f.Draw(seed)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		for _, w := range ways {
 			plays[w] = append(plays[w], virtual.Run(d, w, r.Loss))
 		}
 	}
-	for _, w := range ways {
-		report.Spreads(os.Stdout, fmt.Sprintf("%s, %d nodes, %d seeds", w, r.Nodes, to-from+1), plays[w])
-	}
-	return nil
+	return plays, nil
 }
 
 func (l *listCmd) Run() error {
--- a/control/handover.go
+++ b/control/handover.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -70,8 +71,32 @@
 // now on the controller shares its quotas, until Alone.
 func (c *Controller) Handover(now time.Duration) ([]byte, error) {
 	c.now = max(c.now, now)
+	h := c.learnt()
+	h.Retries /= 2
+	for _, s := range c.order {
+		if o, ok := h.Servers[s.Server]; ok {
+			o.Tokens /= 2
+			s.tokens /= 2
+			h.Servers[s.Server] = o
+		}
+	}
+	c.split(true)
+	for k, q := range c.custs {
+		c.refill(q)
+		h.Customers[k] = handoverCustomer{Plan: q.plan.Name, Key: k, Spread: q.spread, SeenFrom: q.seenFrom, At: q.at,
+			ToldAt: q.toldAt, TriesAt: q.triesAt, Level: q.level, Ceiling: q.ceiling, OpenCap: q.openCap,
+			Chance: q.chance, Carry: q.carry, Metered: q.metered, Base: q.base, LastUsed: q.lastUsed, Tries: q.tries,
+			Told: q.told, ToldFor: q.toldFor, Cover: q.cover, OwnSum: q.ownSum, AllSum: q.allSum, Smooth: q.smooth,
+			ReadEnd: q.readEnd, Own: q.own.save(), Charged: q.charged.save(), Asked: q.asked.save(), Refused: q.refused.save()}
+	}
+	c.retries /= 2
+	return json.Marshal(h)
+}
+
+// learnt is what was learnt of all but customers.
+func (c *Controller) learnt() handover {
 	h := handover{Version: handoverVersion, At: c.now, Start: c.start, Bound: c.bound, Latency: c.latency,
-		Idle: c.idle, Seen: c.seen, Served: c.servedRate, Retries: c.retries / 2, Units: c.unitsMean, NextTry: c.nextTry,
+		Idle: c.idle, Seen: c.seen, Served: c.servedRate, Retries: c.retries, Units: c.unitsMean, NextTry: c.nextTry,
 		Miss: c.clock.miss, Phase: c.clock.phase, Lag: c.clock.lag, Law: c.law.save(),
 		Plans: map[string]handoverPlan{}, Usual: map[string]handoverTTL{}, Servers: map[uint32]handoverServer{},
 		Customers: map[string]handoverCustomer{}}
@@ -84,21 +109,54 @@
 	for _, s := range c.order {
 		if s.listed {
 			h.Servers[s.Server] = handoverServer{s.latency, s.failing, s.latencyAt, s.failingAt, s.strikes, s.asideUntil,
-				s.aside, s.coldRamp, s.coldFrom, s.tokensAt, s.tokens / 2, s.HasCameUp, s.CameUp}
-			s.tokens /= 2
+				s.aside, s.coldRamp, s.coldFrom, s.tokensAt, s.tokens, s.HasCameUp, s.CameUp}
 		}
 	}
-	c.split(true)
-	for k, q := range c.custs {
-		c.refill(q)
-		h.Customers[k] = handoverCustomer{Plan: q.plan.Name, Key: k, Spread: q.spread, SeenFrom: q.seenFrom, At: q.at,
-			ToldAt: q.toldAt, TriesAt: q.triesAt, Level: q.level, Ceiling: q.ceiling, OpenCap: q.openCap,
-			Chance: q.chance, Carry: q.carry, Metered: q.metered, Base: q.base, LastUsed: q.lastUsed, Tries: q.tries,
-			Told: q.told, ToldFor: q.toldFor, Cover: q.cover, OwnSum: q.ownSum, AllSum: q.allSum, Smooth: q.smooth,
-			ReadEnd: q.readEnd, Own: q.own.save(), Charged: q.charged.save(), Asked: q.asked.save(), Refused: q.refused.save()}
+	return h
+}
+
+// Keep gives what was learnt of all but customers, for a process that starts when this one has
+// ended. It changes nothing.
+func (c *Controller) Keep(now time.Duration) ([]byte, error) {
+	c.now = max(c.now, now)
+	return json.Marshal(c.learnt())
+}
+
+// Recall takes what Keep gave, at most so long ago, before this controller has been told anything.
+// After an error nothing is taken.
+func (c *Controller) Recall(now time.Duration, raw []byte, most time.Duration) error {
+	var h handover
+	if err := json.Unmarshal(raw, &h); err != nil {
+		return fmt.Errorf("kept: %w", err)
 	}
-	c.retries /= 2
-	return json.Marshal(h)
+	h.Customers = nil
+	err := c.take(now, &h, most)
+	c.start = 0 // that of a process that does not know what its former self passed on
+	return err
+}
+
+// Level gives what a customer's store holds, with its rate and depth and the gateways that share
+// it; ok is false for one that has no such quota here.
+func (c *Controller) Level(plan, customer string) (units, rate, depth float64, spread int, ok bool) {
+	q := c.custs[plan+" "+customer]
+	if q == nil || q.plan.Rate == 0 {
+		return 0, 0, 0, 0, false
+	}
+	return q.level, q.plan.Rate, q.plan.Depth, int(q.spread), true
+}
+
+// Restore sets what the store of a customer holds that is not known here yet: at most what is given,
+// and no more than a store can.
+func (c *Controller) Restore(now time.Duration, plan, customer string, spread int, units float64) error {
+	p := c.planOf[plan]
+	if p == nil || p.Rate == 0 || spread < 1 || spread > c.set.GroupSize || math.IsNaN(units) || len(c.custs) >= custMost {
+		return fmt.Errorf("kept: the store of customer %q can't be", customer)
+	}
+	c.now = max(c.now, now)
+	c.start = cmp.Or(c.start, c.now)
+	q := c.customerOf(p, customer, spread)
+	q.level = math.Max(-p.Depth, math.Min(q.level, units))
+	return nil
 }
 
 // Adopt takes what another controller has learnt, before this one has been told anything; it
@@ -108,10 +166,19 @@
 	if err := json.Unmarshal(raw, &h); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
+	if err := c.take(now, &h, time.Minute); err != nil {
+		return err
+	}
+	c.shares = true
+	return nil
+}
+
+// take takes what was learnt, at most so long ago.
+func (c *Controller) take(now time.Duration, h *handover, most time.Duration) error {
 	if h.Version != handoverVersion {
 		return fmt.Errorf("handover: version %d, not %d", h.Version, handoverVersion)
 	}
-	if h.At > now+time.Minute || h.At < now-time.Minute || h.Start > now || len(h.Customers) > custMost ||
+	if h.At > now+time.Minute || h.At < now-most || h.Start > now || len(h.Customers) > custMost ||
 		!(h.Bound >= 0 && h.Bound < 1e6) || h.Phase < 0 || h.Phase >= binsPeriod || h.Lag < 0 || h.Lag >= lagMost ||
 		h.Latency < 0 || h.Idle < 0 || h.Served < 0 || h.Retries < 0 || h.Units < 0 || h.NextTry <= 0 {
 		return fmt.Errorf("handover: its figures can't be")
@@ -147,7 +214,6 @@
 		s.Server, s.HasCameUp, s.CameUp = id, o.HasCameUp, o.CameUp
 		c.servers[id], c.order = s, append(c.order, s)
 	}
-	c.shares = true
 	for k, o := range h.Customers {
 		p := c.planOf[o.Plan]
 		q := &customer{plan: p, spread: o.Spread, seenFrom: o.SeenFrom, at: o.At, toldAt: o.ToldAt, triesAt: o.TriesAt,
--- a/fleet/share/exchange.go
+++ b/fleet/share/exchange.go
@@ -56,10 +56,10 @@
 type Exchange struct {
 	Counts Counts
 	cfg    Config
-	epoch  uint64         // of the live nodes
-	nodes  []int          // that are live, this one among them, in order
-	alive  []bool         // by index
-	lives  map[int]uint64 // of their processes; of one that has gone, the last
+	epoch  uint64   // of the live nodes
+	nodes  []int    // that are live, this one among them, in order
+	alive  []bool   // by index
+	lives  []uint64 // of their processes, by index; of one that has gone, the last; 0 is not known
 	cells  cells
 	head   int   // that tells this node; itself where it is one
 	mine   []int // the nodes that this one tells, where it is a head
@@ -167,7 +167,7 @@
 
 // NewExchange makes a node's part; it is alone until Live tells it of others.
 func NewExchange(cfg Config, now time.Duration) *Exchange {
-	x := &Exchange{cfg: cfg, lives: make(map[int]uint64), young: make(map[uint64]*entry), old: make(map[uint64]*entry),
+	x := &Exchange{cfg: cfg, lives: make([]uint64, cfg.Group), young: make(map[uint64]*entry), old: make(map[uint64]*entry),
 		links: make(map[int]*link), busy: make(map[int]*link), numbers: make(map[int]uint32), covered: make(map[int]time.Duration), owned: make(map[uint64]*entry), lows: make(map[uint64]*entry),
 		court: newCourt(), up: newNews(), toHead: newNews(), toMine: newNews(), rotated: now, lastUse: now - beatFor, wake: -1}
 	x.settle(now, nil)
@@ -474,7 +474,7 @@
 // Hear takes a message. One of a process that is not live is refused; whatever is said twice
 // counts once.
 func (x *Exchange) Hear(now time.Duration, m *Message) {
-	if life, known := x.lives[m.From]; !known || life != m.Life || m.From == x.cfg.Self {
+	if m.From == x.cfg.Self || m.Life == 0 || m.Life != x.lives[m.From] {
 		x.Counts.Strange++
 		return
 	}
--- a/internal/lab/judge/price.go
+++ b/internal/lab/judge/price.go
@@ -175,7 +175,12 @@
 	}
 	j.add("views_right", part/float64(len(j.book.Views)), "of the day, mean over nodes")
 	j.add("views_back", wrong.Seconds(), "s")
+	most := 0.0
+	for _, v := range j.book.Views {
+		most = max(most, v.SentMost)
+	}
 	if v := j.book.Views[len(j.book.Views)-1]; v.Known > 0 {
+		j.add("messages_most", most, "a second by one node")
 		j.add("known", v.Known/(v.Known+v.Unknown), "of requests, by the nodes' word")
 	}
 	j.add("talk", float64(j.book.Talk)/float64(len(j.day.Nodes))/j.day.Length.Seconds(), "bytes a second and node")
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -69,9 +69,15 @@
 		name := fmt.Sprintf("region-%d", z.Region)
 		regions[name] = append(regions[name], z.Name)
 	}
-	raw, err := toml.Marshal(map[string]any{"regions": regions,
-		"peers": map[string]any{"label": p.day.Name, "port": portPeer, "seeds": seeds, "via": via, "limits": p.day.File.On.Limits,
-			"verdicts": p.day.File.On.Verdicts}})
+	file := map[string]any{"regions": regions}
+	on := p.day.File.On
+	if on.Peers {
+		file["peers"] = map[string]any{"label": p.day.Name, "port": portPeer, "seeds": seeds, "via": via, "limits": on.Limits, "verdicts": on.Verdicts}
+	}
+	if on.State {
+		file["state"] = map[string]any{"dir": filepath.Join(n.dir, "state")}
+	}
+	raw, err := toml.Marshal(file)
 	if err != nil {
 		return err
 	}
@@ -109,6 +115,11 @@
 func (p *play) look(ctx context.Context) {
 	t := time.NewTicker(sampleEvery)
 	defer t.Stop()
+	type counted struct {
+		n  float64
+		at time.Duration
+	}
+	sent := map[int]counted{}
 	for {
 		running, right := 0, 0
 		var run []*node
@@ -121,12 +132,17 @@
 				run = append(run, n)
 			}
 		}
-		var known, unknown float64
+		var known, unknown, most float64
 		for _, n := range run {
-			v, ok := p.figuresOf(ctx, n, "node_peers", "node_share_known_total", "node_share_unknown_total")
+			v, ok := p.figuresOf(ctx, n, "node_peers", "node_share_known_total", "node_share_unknown_total", "node_share_sent_total")
 			if !ok {
 				continue
 			}
+			now := p.clock()
+			if was, ok := sent[n.index]; ok && now > was.at {
+				most = max(most, (v[3]-was.n)/(now-was.at).Seconds()) // below zero where the process is another
+			}
+			sent[n.index] = counted{v[3], now}
 			if int(v[0]) == running-1 {
 				right++
 			}
@@ -134,7 +150,7 @@
 		}
 		at := p.clock()
 		p.book.With(func() {
-			p.book.Views = append(p.book.Views, record.View{At: at, Right: float64(right) / float64(max(1, running)), Known: known, Unknown: unknown})
+			p.book.Views = append(p.book.Views, record.View{At: at, Right: float64(right) / float64(max(1, running)), Known: known, Unknown: unknown, SentMost: most})
 		})
 		select {
 		case <-t.C:
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -137,6 +137,7 @@
 	Right float64
 	// Requests so far whose customer's store the nodes knew, and did not know.
 	Known, Unknown float64
+	SentMost       float64 // messages that one node sent others a second since the view before, at most
 }
 
 // Run is the life of one process of a node; To is zero while it runs.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -36,7 +36,7 @@
 		bound float64
 		least bool
 	}
-	for _, l := range []line{{"served", g.Served, true}, {"served_worst_class", g.WorstClass, true}, {"over_units", g.Over, false}, {"refused_with_room", g.Room, false}, {"slowed_kept", g.SlowedKept, false}, {"back", g.BackWithin, false},
+	for _, l := range []line{{"served", g.Served, true}, {"served_worst_class", g.WorstClass, true}, {"over_units", g.Over, false}, {"refused_with_room", g.Room, false}, {"slowed_kept", g.SlowedKept, false}, {"messages_most", g.MessagesMost, false}, {"back", g.BackWithin, false},
 		{"views_back", g.ViewsBack, false}} {
 		got := v.Figures.Get(l.name)
 		switch {
--- a/internal/lab/scenario/day.go
+++ b/internal/lab/scenario/day.go
@@ -404,6 +404,9 @@
 func (d *Day) addCustomer(rng *rand.Rand, plan int, p Plan, skew float64, shift time.Duration) {
 	c := Customer{ID: rng.Uint64N(1 << 33), Plan: plan, First: rng.IntN(len(d.Nodes)), Epoch: shift,
 		Spread: max(1, int(math.Round(p.Spread.draw(rng)*float64(len(d.Nodes)))))}
+	if most := d.File.Load.SetMost; most > 0 {
+		c.Spread = min(c.Spread, most)
+	}
 	for range int(d.Length/shift) + 2 {
 		w := make([]float32, c.Spread)
 		for i := range w {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -83,6 +83,7 @@
 // On is what a scenario switches on in the nodes; nothing by itself.
 type On struct {
 	Peers    bool // nodes talk
+	State    bool // what nodes have learnt outlives their processes
 	Limits   bool // and share what customers have left of their quotas
 	Verdicts bool // and which rating servers are slow
 }
@@ -156,6 +157,7 @@
 	Elsewhere   Range // chance that a later try goes by a new draw
 	GuessCV     Range `toml:"guess_cv"`
 	MostUnits   int   `toml:"most_units"`
+	SetMost     int   `toml:"set_most"` // nodes that a customer comes through at most; 0 is all
 }
 
 // Discovery is how late the list is told.
@@ -222,13 +224,14 @@
 // Gate is what a play has to reach. A scenario's gate is set before it is played: from the rules,
 // or from what the operators ask.
 type Gate struct {
-	Served     float64 // share of worth served, at least
-	WorstClass float64 `toml:"worst_class"`
-	Over       float64 // units beyond quota, of those sent, at most; 0 is not held
-	Room       float64 `toml:"refused_with_room"` // of tries, at most; 0 is not held
-	SlowedKept float64 `toml:"slowed_kept"`       // of the sends to servers that turned slow, a second after, at most; 0 is not held
-	BackWithin float64 `toml:"back_within_s"`     // after the last fault, until service is whole; 0 is not held
-	ViewsBack  float64 `toml:"views_back_s"`      // after the last fault, until all nodes see each other; 0 is not held
+	Served       float64 // share of worth served, at least
+	WorstClass   float64 `toml:"worst_class"`
+	Over         float64 // units beyond quota, of those sent, at most; 0 is not held
+	Room         float64 `toml:"refused_with_room"` // of tries, at most; 0 is not held
+	SlowedKept   float64 `toml:"slowed_kept"`       // of the sends to servers that turned slow, a second after, at most; 0 is not held
+	MessagesMost float64 `toml:"messages_most"`     // that one node sends others a second, at most; 0 is not held
+	BackWithin   float64 `toml:"back_within_s"`     // after the last fault, until service is whole; 0 is not held
+	ViewsBack    float64 `toml:"views_back_s"`      // after the last fault, until all nodes see each other; 0 is not held
 }
 
 // kinds are the faults that can be named, with what each needs beyond its time.
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -60,8 +60,11 @@
 		"/metrics": {http.MethodGet: func(w http.ResponseWriter, _ *http.Request) {
 			var text bytes.Buffer
 			n.stats.write(&text)
-			if n.peers != nil {
-				writePeers(&text, &n.peers.Counts)
+			if p := n.peers.Load(); p != nil {
+				writePeers(&text, &p.Counts)
+			}
+			if n.loop.keeping != nil {
+				n.loop.keeping.write(&text)
 			}
 			if n.loop.sharing != nil {
 				n.loop.sharing.write(&text)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -22,6 +23,7 @@
 type Fleet struct {
 	Peers   *PeersConfig
 	Regions map[string][]string // the zones of each
+	State   *StateConfig
 }
 
 // PeersConfig switches on that this node and others talk.
@@ -67,6 +69,9 @@
 			of[z] = region
 		}
 	}
+	if f.State != nil && !filepath.IsAbs(f.State.Dir) {
+		return fmt.Errorf("state.dir: %q is no whole path", f.State.Dir)
+	}
 	p := f.Peers
 	if p == nil {
 		return nil
@@ -113,33 +118,37 @@
 	return ""
 }
 
-// startPeers lets the node talk with others where the fleet file has it and the settings allow it.
-// Its sharing is nil where the fleet file leaves limits to each node alone.
-func startPeers(cfg Config, l *loop) (*peer.Peers, error) {
+// peering gives what lets the node talk with others, where the fleet file has it and the settings
+// allow it; nil is nothing.
+func peering(cfg Config, l *loop) func() (*peer.Peers, error) {
 	if cfg.Fleet == nil || cfg.Fleet.Peers == nil {
-		return nil, nil
+		return nil
 	}
 	if !cfg.Settings.PeerMessages {
 		slog.Warn("peers stay off: the settings refuse them")
-		return nil, nil
-	}
-	host, _, err := net.SplitHostPort(cfg.Listen)
-	if err != nil {
-		return nil, err
+		return nil
 	}
 	f, s := cfg.Fleet.Peers, &cfg.Settings
-	pc := peer.Config{Label: f.Label, Name: cfg.Name, Index: s.SelfIndex, Zone: s.Zone, Region: cfg.Fleet.region(s.Zone),
-		Program: program(), Bind: net.JoinHostPort(host, strconv.Itoa(f.Port)), Seeds: f.Seeds, Via: f.Via, Seed: cfg.Seed}
-	if !f.Limits && !f.Verdicts {
-		return peer.Start(pc, slog.Default())
-	}
-	l.sharing = newSharing(s, *f, l)
-	pc.Receive, pc.Changed = l.sharing.receive, l.sharing.changed
-	p, err := peer.Start(pc, slog.Default())
-	if err == nil {
-		l.sharing.start(p)
-	}
-	return p, err
+	if f.Limits || f.Verdicts {
+		l.sharing = newSharing(s, *f, l)
+	}
+	return func() (*peer.Peers, error) {
+		host, _, err := net.SplitHostPort(cfg.Listen)
+		if err != nil {
+			return nil, err
+		}
+		pc := peer.Config{Label: f.Label, Name: cfg.Name, Index: s.SelfIndex, Zone: s.Zone, Region: cfg.Fleet.region(s.Zone),
+			Program: program(), Bind: net.JoinHostPort(host, strconv.Itoa(f.Port)), Seeds: f.Seeds, Via: f.Via, Seed: cfg.Seed}
+		if l.sharing == nil {
+			return peer.Start(pc, slog.Default())
+		}
+		pc.Receive, pc.Changed = l.sharing.receive, l.sharing.changed
+		p, err := peer.Start(pc, slog.Default())
+		if err == nil {
+			l.sharing.start(p)
+		}
+		return p, err
+	}
 }
 
 // program names the version of this program: the commit that it was built from, where known.
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -19,6 +19,7 @@
 		good + "via = {\"a\" = \"b:1\"}":     "peers.via",
 		strings.Replace(good, "127.0.0.1:7946", "127.0.0.1:99999", 1): "peers.seeds",
 		"[regions]\ng = [\"a\"]\nh = [\"a\"]\n":                       "zone a is in",
+		"[state]\ndir = \"x\"":                                        "state.dir",
 		"[peers":                                                      "fleet file",
 	} {
 		path := filepath.Join(t.TempDir(), "fleet.toml")
@@ -41,7 +42,7 @@
 		t.Fatal(err)
 	}
 	cfg.Fleet = &Fleet{Peers: &PeersConfig{Label: "x", Port: 1}}
-	if p, err := startPeers(cfg, nil); p != nil || err != nil {
-		t.Errorf("peers %v, %v against the settings", p, err)
+	if peering(cfg, nil) != nil {
+		t.Error("peers against the settings")
 	}
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -99,6 +99,15 @@
 		return nil
 	}
 	c.SetDeadline(time.Time{})
+	n.takeList(from, true)
+	n.upstream.sockets.share(true)
+	slog.Info("taken over", "customers and servers", len(m), "listed", len(from.List.Targets))
+	return c
+}
+
+// takeList takes another process's list and the names of its servers. Its version counts where that
+// process held the list until now.
+func (n *Node) takeList(from legacy, current bool) {
 	for uid, id := range from.IDs {
 		n.loop.ids[uid] = id
 		n.loop.lastID = max(n.loop.lastID, id)
@@ -106,13 +115,10 @@
 	n.loop.lastID = max(n.loop.lastID, from.LastID)
 	if len(from.List.Targets) > 0 {
 		n.known = from.List
-		if n.discovery.rev = noRev; from.Discovery == n.discoveryAt {
+		if n.discovery.rev = noRev; current && from.Discovery == n.discoveryAt {
 			n.discovery.rev = from.List.Rev
 		}
 	}
-	n.upstream.sockets.share(true)
-	slog.Info("taken over", "customers and servers", len(m), "listed", len(from.List.Targets))
-	return c
 }
 
 // succeed waits for the process before this one to end, and takes what it leaves.
@@ -215,12 +221,17 @@
 	if err != nil {
 		return nil, err
 	}
+	return json.Marshal(l.legacy(discovery, module))
+}
+
+// legacy is what goes to another process: the module's part, the names behind its ids, and the list.
+func (l *loop) legacy(discovery string, module []byte) legacy {
 	b := legacy{Version: handoverVersion, Discovery: discovery, LastID: l.lastID, IDs: l.ids,
 		List: listing{Rev: l.rev, All: true}, Module: module}
 	for _, t := range l.targets {
 		b.List.Targets = append(b.List.Targets, t)
 	}
-	return json.Marshal(b)
+	return b
 }
 
 // keep remembers the list, for a process that takes over.
--- /dev/null
+++ b/internal/node/keeping_test.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func askAlone(r *rig, id string, units int) int {
+	req := r.call(http.MethodGet, "/roster-read", id)
+	req.Header.Set(headerPlan, "basic")
+	req.Header.Set(headerWeight, fmt.Sprintf("units=%d,spread=1,first=0", units))
+	resp, _ := r.do(req)
+	return resp.StatusCode
+}
+
+// end stops a node and waits for its end.
+func (r *rig) end() {
+	r.stop()
+	select {
+	case err := <-r.ended:
+		r.ended <- err
+	case <-time.After(patience):
+		r.t.Fatal("the node did not end")
+	}
+}
+
+// What a customer has used is not granted again by the next process, whether the one before ended
+// as planned or left only what was on the disk; spoilt, it starts as from nothing.
+func TestStoresOutliveTheProcess(t *testing.T) {
+	for _, how := range []string{"planned", "killed", "spoilt", "off"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			app, dir := newApp(t, served), t.TempDir()
+			with := func(c *Config) {
+				if c.Settings.GroupSize = 1; how != "off" {
+					c.Fleet = &Fleet{State: &StateConfig{Dir: dir}}
+				}
+			}
+			a := newRigWith(t, with)
+			a.list(app.target("a", 1))
+			for i := 0; askAlone(a, fmt.Sprint("a", i), 1) == http.StatusOK; i++ {
+				if i > 20 {
+					t.Fatal("the store is never empty")
+				}
+			}
+			state := filepath.Join(dir, "state")
+			if how == "killed" {
+				a.wait("a state on the disk", func() bool { return a.node.loop.keeping.writtenAt.Load() > 0 && !a.node.loop.keeping.marks.Due() })
+				raw, err := os.ReadFile(state)
+				if err != nil {
+					t.Fatal(err)
+				}
+				a.end()
+				if err := os.WriteFile(state, raw, 0o600); err != nil { // as if nothing had come after
+					t.Fatal(err)
+				}
+			}
+			a.end()
+			if how == "spoilt" {
+				if err := os.Truncate(state, 30); err != nil {
+					t.Fatal(err)
+				}
+			}
+			b := newRigWith(t, with)
+			b.list(app.target("a", 1))
+			want := http.StatusServiceUnavailable
+			if how == "spoilt" || how == "off" {
+				want = http.StatusOK
+			}
+			if got := askAlone(b, "b", 4); got != want {
+				t.Errorf("the next process answers %d, wanted %d", got, want)
+			}
+			names, err := os.ReadDir(dir)
+			if err != nil || how == "off" && len(names) > 0 {
+				t.Errorf("off, the folder holds %v, %v", names, err)
+			}
+			if how != "off" {
+				var text strings.Builder
+				b.node.loop.keeping.write(&text)
+				if !strings.Contains(text.String(), "node_state_restored_total") {
+					t.Error("the figures lack what was restored")
+				}
+			}
+		})
+	}
+}
+
+// A process that finds the folder in use serves all the same, and keeps its state when the one
+// before has ended.
+func TestFolderInUse(t *testing.T) {
+	dir := t.TempDir()
+	with := func(c *Config) { c.Fleet = &Fleet{State: &StateConfig{Dir: dir}} }
+	a := newRigWith(t, with)
+	a.list()
+	b := newRigWith(t, with)
+	b.list()
+	b.wait("no folder", func() bool { return b.node.loop.keeping.keeper == nil })
+	a.end()
+	b.wait("the folder", func() bool { return b.node.loop.keeping.keeper != nil })
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -141,8 +141,8 @@
 	unitsTop  float64          // of one request; 0 is not told
 	pending   []control.Event  // that the node itself caused while it acted
 	stats     *stats
-	sharing   *sharing // nil is that nodes share no limits
-	early     []func() // what the loop does first
+	sharing   *sharing // nil is that nodes share nothing
+	keeping   *keeping // nil is that nothing outlives the process
 }
 
 func newLoop(cfg Config, up *upstream, counts *stats) (*loop, error) {
@@ -186,9 +186,6 @@
 		close(l.ended)
 		l.end()
 	}()
-	for _, f := range l.early {
-		f()
-	}
 	look := time.NewTicker(publishEvery)
 	defer look.Stop()
 	for {
@@ -344,6 +341,9 @@
 			l.sharing.sent(&x.req, x.req.Units, false)
 		}
 	}
+	if l.keeping != nil && n == 0 {
+		l.keeping.granted(&x.req)
+	}
 	sent := time.Now()
 	t := &attempt{req: x.message(), first: x.body, rest: x.rest,
 		written: func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"martennotch/control"
@@ -39,7 +40,8 @@
 	console   *console      // nil is none
 	stats     *stats
 	drainer   *drainer
-	peers     *peer.Peers // nil is that nodes don't talk
+	peers     atomic.Pointer[peer.Peers]  // nil is that nodes don't talk, or not yet
+	peering   func() (*peer.Peers, error) // begins it; nil is that nodes don't talk
 
 	dir         string // that a process which takes this one's place shares; "" is none
 	discoveryAt string
@@ -86,10 +88,18 @@
 			return nil, err
 		}
 	}
-	if n.peers, err = startPeers(cfg, l); err != nil {
-		cancel()
-		tcp.Close()
-		return nil, err
+	if cfg.Fleet != nil && cfg.Fleet.State != nil {
+		l.keeping = newKeeping(cfg, l, func() string { return n.discovery.address() })
+	}
+	if n.peering = peering(cfg, l); n.peering != nil {
+		p, err := n.peering()
+		// A process whose place this one takes has the address until it ends.
+		if err != nil && !(inherited && errors.Is(err, syscall.EADDRINUSE)) {
+			cancel()
+			tcp.Close()
+			return nil, err
+		}
+		n.peers.Store(p)
 	}
 	n.discovery = newWatcher(cfg.Discovery, cfg.Known, cfg.Settings.GroupSize, cfg.Seed, func(news listing) {
 		kind := control.Patch
@@ -112,8 +122,8 @@
 func (n *Node) Reload(cfg Config) {
 	slog.Info("reloading", "discovery", cfg.Discovery)
 	n.discovery.move(cfg.Discovery)
-	if n.peers != nil && cfg.Fleet != nil && cfg.Fleet.Peers != nil {
-		n.peers.SetSeeds(cfg.Fleet.Peers.Seeds)
+	if p := n.peers.Load(); p != nil && cfg.Fleet != nil && cfg.Fleet.Peers != nil {
+		p.SetSeeds(cfg.Fleet.Peers.Seeds)
 	}
 }
 
@@ -143,6 +153,12 @@
 			n.listDue.Store(true)
 		}
 	}
+	if k := n.loop.keeping; k != nil {
+		if !k.open(n, before != nil) {
+			parts.Go(func() { k.openLater(life) })
+		}
+		parts.Go(func() { <-n.loop.ended; k.end() })
+	}
 	parts.Go(func() { n.loop.run(work) })
 	// Guards against a bound that the module sets by a list of no servers.
 	if len(n.known.Targets) > 0 {
@@ -170,7 +186,7 @@
 	parts.Go(func() { served <- srv.Serve(n.listener) })
 	slog.Info("serving", "listen", n.Addr())
 
-	if n.peers != nil {
+	if n.peering != nil {
 		// The others hear of a planned end at its beginning, and of a failure as of a death.
 		parts.Go(func() { n.part(ctx, life) })
 	}
@@ -185,19 +201,44 @@
 	return n.drain(srv, stop)
 }
 
+// joinAgain is how often a process tries to talk that waits for the one before it to end.
+const joinAgain = time.Second
+
+// join gives the talk with other nodes, once it could begin; nil is that ctx ended before.
+func (n *Node) join(ctx context.Context) *peer.Peers {
+	for n.peers.Load() == nil {
+		select {
+		case <-time.After(joinAgain):
+		case <-ctx.Done():
+			return nil
+		}
+		p, err := n.peering()
+		if err != nil {
+			slog.Debug("peers: not yet", "err", err)
+			continue
+		}
+		n.peers.Store(p)
+	}
+	return n.peers.Load()
+}
+
 // part takes leave of the other nodes when ctx ends, and ends the talk with life: until then this
 // node serves, and tells them what it sends on.
 func (n *Node) part(ctx, life context.Context) {
-	end := n.peers.Close
+	p := n.join(ctx)
+	if p == nil {
+		return
+	}
+	end := p.Close
 	select {
 	case <-ctx.Done():
 		if n.loop.sharing != nil {
 			n.loop.post(n.loop.sharing.leave)
 		}
-		if err := n.peers.Part(); err != nil {
+		if err := p.Part(); err != nil {
 			slog.Warn("peers: leaving", "err", err)
 		}
-		end = n.peers.Leave
+		end = p.Leave
 		<-life.Done()
 	case <-life.Done():
 	}
--- a/internal/node/sharing.go
+++ b/internal/node/sharing.go
@@ -31,8 +31,8 @@
 	on    PeersConfig             // what is shared
 	uids  map[uint32]share.Server // of the listed rating servers
 	ids   map[share.Server]uint32
-	tries uint64 // attempts that were watched
-	peers *peer.Peers
+	tries uint64                     // attempts that were watched
+	peers atomic.Pointer[peer.Peers] // nil until the membership has begun
 	out   chan share.Out
 	done  sync.WaitGroup
 	timer *time.Timer
@@ -44,7 +44,7 @@
 	registry *prometheus.Registry
 	age      prometheus.Histogram
 	spoilt, lost, lostOut,
-	known0, unknown prometheus.Counter
+	knownStore, unknown prometheus.Counter
 }
 
 func newSharing(set *control.Settings, on PeersConfig, l *loop) *sharing {
@@ -67,7 +67,7 @@
 	s.spoilt = counter("node_share_spoilt_total", "Messages of others that could not be used.")
 	s.lost = counter("node_share_dropped_total", "Messages of others dropped, as the loop had no room.")
 	s.lostOut = counter("node_share_unsent_total", "Messages that could not be sent.")
-	s.known0 = counter("node_share_known_total", "Requests whose store was known.")
+	s.knownStore = counter("node_share_known_total", "Requests whose store was known.")
 	s.unknown = counter("node_share_unknown_total", "Requests whose store was not known: decided as by one alone.")
 	for name, of := range map[string]func(*share.Counts) int64{
 		"node_share_sent_total":     func(c *share.Counts) int64 { return c.Sent },
@@ -115,9 +115,9 @@
 	if customers <= 0 {
 		customers = customersAt
 	}
-	s.peers = p
+	s.peers.Store(p)
 	s.done.Go(s.carry)
-	s.loop.early = append(s.loop.early, func() {
+	s.loop.post(func() { // it waits for a loop that has not begun
 		s.ex = share.NewExchange(share.Config{Self: s.set.SelfIndex, Group: s.set.GroupSize, Life: p.Incarnation(),
 			Quotas: quotas, Customers: customers}, s.loop.now())
 		s.members()
@@ -142,7 +142,7 @@
 		s.unknown.Inc()
 		return nil
 	}
-	s.known0.Inc()
+	s.knownStore.Inc()
 	s.age.Observe(k.Age.Seconds())
 	return &control.Shared{Units: k.Units, Least: k.Least, Age: k.Age}
 }
@@ -205,7 +205,7 @@
 		return
 	}
 	var nodes []share.Node
-	live, _ := s.peers.Live()
+	live, _ := s.peers.Load().Live()
 	for _, m := range live {
 		if m.State >= peer.StateVersion {
 			nodes = append(nodes, share.Node{Index: m.Index, Life: m.Incarnation})
@@ -284,10 +284,11 @@
 	})
 }
 
-// changed has the loop take the live members, once for many changes.
+// changed has the loop take the live members, once for many changes. The loop waits for nothing of
+// the membership's.
 func (s *sharing) changed() {
-	if s.peers != nil && !s.changing.Swap(true) {
-		go s.loop.post(s.members)
+	if s.peers.Load() != nil && !s.changing.Swap(true) {
+		s.loop.post(s.members)
 	}
 }
 
@@ -296,7 +297,7 @@
 	for o := range s.out {
 		raw, err := o.Message.Encode()
 		if err == nil {
-			err = s.peers.Send(o.To, raw)
+			err = s.peers.Load().Send(o.To, raw)
 		}
 		if err != nil {
 			s.lostOut.Inc()
@@ -307,9 +308,7 @@
 
 // end ends the sending, once the loop has ended or sends no more.
 func (s *sharing) end() {
-	select {
-	case <-s.loop.ended:
-	}
+	<-s.loop.ended
 	close(s.out)
 	s.done.Wait()
 }
--- a/internal/node/sharing_test.go
+++ b/internal/node/sharing_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,7 +33,7 @@
 		})
 	}
 	for _, r := range rigs {
-		r.wait("the other node", func() bool { return r.node.peers.Counts.Live.Load() == 1 })
+		r.wait("the other node", func() bool { return r.node.peers.Load().Counts.Live.Load() == 1 })
 	}
 	return rigs
 }
@@ -91,7 +93,7 @@
 // Without a fleet file a node has no part of this, and tells the module nothing.
 func TestOffIsNothing(t *testing.T) {
 	r := newRig(t)
-	if n := r.node; n.peers != nil || n.loop.sharing != nil || len(n.loop.early) > 0 {
+	if n := r.node; n.peering != nil || n.peers.Load() != nil || n.loop.sharing != nil {
 		t.Error("a node without a fleet file talks")
 	}
 }
@@ -110,3 +112,27 @@
 	}
 	close(s.loop.ended)
 }
+
+// A process that starts while the one before it still has the address begins to talk when that ends.
+func TestTalkBeginsWhenTheAddressIsFree(t *testing.T) {
+	before, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := LoadConfig("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Settings.PeerMessages = true
+	cfg.Fleet = &Fleet{Peers: &PeersConfig{Label: "x", Port: before.Addr().(*net.TCPAddr).Port}}
+	n := &Node{peering: peering(cfg, &loop{})}
+	if _, err := n.peering(); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Fatalf("while the address is taken: %v", err)
+	}
+	before.Close()
+	p := n.join(t.Context())
+	if p == nil || n.peers.Load() != p {
+		t.Fatal("it does not begin")
+	}
+	p.Close()
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -123,6 +123,12 @@
 	}
 	p.said.Leaving = false
 	std := log.New(&lines{l, &p.Counts}, "", 0)
+	// The library does not tell which error it was.
+	probe, err := net.Listen("tcp", cfg.Bind)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	probe.Close()
 	net, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: number, Logger: std})
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
