Leave a failing zone and return to it in steps, where a fleet file says so

A node knew a zone as a price only. It now feeds fleet/zone with how its attempts went, late ones when they are late (fleet/watch, taken out of the words on slow servers, which use it too), and tells control what part of its traffic stays away from which zone. Operators order leave, hold and return by the console. Off without zones.leave: no draw of chance, no timer.

TestZoneIsLeft: eight servers of a zone that reset what they are sent: left within 60 requests, none sent there after, orders go before.

--- a/control/api.go
+++ b/control/api.go
@@ -243,6 +243,11 @@
 	Until     time.Duration // clock time at which it is too old
 }
 
+// Zones tells what part of its usual traffic is to stay away from each zone, of those that are not to
+// have all of it; 1 is to send there only where nothing else is.
+type Zones struct{ Away map[string]float64 }
+
+func (Zones) isEvent()       {}
 func (Hearsay) isEvent()     {}
 func (List) isEvent()        {}
 func (Request) isEvent()     {}
--- a/control/control.go
+++ b/control/control.go
@@ -680,7 +680,7 @@
 // cold it shares them by chance, each as often as its speed and warmth are of the sum.
 func (c *Controller) pick(r *request) *server {
 	var best *server
-	bestCost := math.Inf(1)
+	bestCost, u := math.Inf(1), c.drawn()
 	chance := c.herd() && c.count(func(s *server) bool { return s.usable() && s.coldRamp }) > 0
 	for _, s := range c.order {
 		if !s.usable() || !c.sameGroup(r, s) || !c.coldRoom(s, r.units) {
@@ -695,7 +695,7 @@
 				cost *= triedCost
 			}
 		}
-		if c.aside(s) || s.probing || c.now < s.shut[r.plan] {
+		if c.aside(s) || s.probing || c.now < s.shut[r.plan] || c.away[s.Zone] > u {
 			cost *= asideCost
 		}
 		if cost < bestCost {
--- a/control/state.go
+++ b/control/state.go
@@ -223,6 +223,7 @@
 	nextTick          time.Duration
 	nextInterval      time.Duration
 	law               *shareLaw
+	away              map[string]float64 // by zone, the part that stays away
 	following         bool
 	askAt             time.Duration
 	nextReport        time.Duration
@@ -329,6 +330,14 @@
 	}
 }
 
+// drawn is a chance, where one is asked for: none is drawn where nothing stays away.
+func (c *Controller) drawn() float64 {
+	if len(c.away) == 0 {
+		return 0
+	}
+	return c.rng.Float64()
+}
+
 func (c *Controller) act(a Action) { c.out = append(c.out, a) }
 
 func (c *Controller) wake(r *request, after time.Duration) {
@@ -404,6 +413,8 @@
 		c.onTimer(e.Label)
 	case Hearsay:
 		c.onHearsay(e)
+	case Zones:
+		c.away = e.Away
 	}
 	c.pump()
 	return c.out
--- a/fleet/share/exchange.go
+++ b/fleet/share/exchange.go
@@ -635,7 +635,6 @@
 		x.quietUntil = now + Life/2
 	}
 	x.wake = -1
-	x.look(now)
 	var out []Out
 	out = x.beat(now, out)
 	out = x.relay(now, out)
--- a/fleet/share/verdict.go
+++ b/fleet/share/verdict.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	slowTimes    = 3.0                    // times the mean answer that an attempt may take before it speaks against its server
-	slowLeast    = 100 * time.Millisecond // and the least: below it a pause of the node itself looks the same
-	meanGain     = 0.05                   // gain of the mean answer
-	meanLeast    = 10                     // answers before it is known
 	VerdictLife  = 2 * time.Second        // age at which a charge counts no more
 	chargeSpan   = 700 * time.Millisecond // within which witnesses have to agree: a fleet's odd long requests come further apart
 	witnessMost  = 4                      // independent witnesses that are enough in any fleet
@@ -21,7 +17,6 @@
 	chargedMost  = 0.34                   // part of the servers: a node that speaks against more has itself to blame
 	chargesKept  = 64                     // servers charged that are remembered
 	chargesMost  = 30                     // in a message
-	attemptsMost = 4096                   // out at once that are watched
 )
 
 // Server is a rating server's process as all nodes name it: a key of its name, and of its start.
@@ -60,98 +55,18 @@
 	node   int
 }
 
-// court is what one node knows of charges: its own attempts, and what others say.
+// court is what one node knows of charges, its own and others'.
 type court struct {
-	mean, seen float64 // s, of answers; and their number
-	out        map[uint64]attempt
-	watch      []uint64 // of out, in the order of their start; those that ended are skipped
-	charges    map[Server]map[int]time.Duration
-	news       map[Server]bool // charged anew since Verdicts
-}
-
-type attempt struct {
-	server  Server
-	began   time.Duration
-	charged bool
+	charges map[Server]map[int]time.Duration
+	news    map[Server]bool // charged anew since Verdicts
 }
 
 func newCourt() court {
-	return court{out: make(map[uint64]attempt), charges: make(map[Server]map[int]time.Duration), news: make(map[Server]bool)}
-}
-
-// limit is how long an attempt may take; below zero is not known yet.
-func (c *court) limit() time.Duration {
-	if c.seen < meanLeast {
-		return -1
-	}
-	return max(slowLeast, time.Duration(slowTimes*c.mean*float64(time.Second)))
-}
-
-// Began takes that an attempt of a number of the caller's goes out to a server.
-func (x *Exchange) Began(now time.Duration, attemptID uint64, s Server) {
-	c := &x.court
-	if len(c.out) >= attemptsMost {
-		return
-	}
-	c.out[attemptID] = attempt{server: s, began: now}
-	c.watch = append(c.watch, attemptID)
-	if limit := c.limit(); limit > 0 {
-		x.wakeBy(now + limit)
-	}
-}
-
-// Ended takes how an attempt ended; answered is that it brought an answer.
-func (x *Exchange) Ended(now time.Duration, attemptID uint64, answered bool) {
-	c := &x.court
-	a, ok := c.out[attemptID]
-	if !ok {
-		return
-	}
-	delete(c.out, attemptID)
-	for len(c.watch) > 0 { // those at the head that have ended
-		if _, out := c.out[c.watch[0]]; out {
-			break
-		}
-		c.watch = c.watch[1:]
-	}
-	took := now - a.began
-	if limit := c.limit(); limit > 0 && took > limit && !a.charged && answered {
-		x.charge(a.server, now)
-	}
-	if answered {
-		c.seen++
-		s := took.Seconds()
-		if limit := c.limit(); limit > 0 { // one slow server does not move what is usual by much
-			s = math.Min(s, limit.Seconds())
-		}
-		c.mean += math.Max(meanGain, 1/c.seen) * (s - c.mean)
-	}
-}
-
-// look charges servers that have been silent for too long, by the attempts that are oldest.
-func (x *Exchange) look(now time.Duration) {
-	c := &x.court
-	limit := c.limit()
-	if limit < 0 {
-		return
-	}
-	for len(c.watch) > 0 {
-		id := c.watch[0]
-		a, out := c.out[id]
-		if out && now < a.began+limit {
-			x.wakeBy(a.began + limit)
-			return
-		}
-		if c.watch = c.watch[1:]; out {
-			a.charged = true
-			c.out[id] = a
-			x.charge(a.server, now)
-		}
-	}
+	return court{charges: make(map[Server]map[int]time.Duration), news: make(map[Server]bool)}
 }
 
-// charge speaks against a server.
-func (x *Exchange) charge(s Server, now time.Duration) {
+// Charge speaks against a server: an attempt of this node's own there takes far longer than is usual.
+func (x *Exchange) Charge(now time.Duration, s Server) {
 	x.Counts.Charges++
 	x.court.hear(word{s, x.cfg.Self}, now)
 	x.up.charge(word{s, x.cfg.Self}, now)
--- a/fleet/share/verdict_test.go
+++ b/fleet/share/verdict_test.go
@@ -5,16 +5,9 @@
 	"time"
 )
 
-// courtroom is a fleet of ten nodes in which all servers have answered in 0.1 s.
+// courtroom is a fleet of ten nodes whose links have all carried something, so that ages can be told.
 func courtroom(t *testing.T) *fleet {
 	f := newFleet(10)
-	for i, x := range f.x {
-		for n := range uint64(20) {
-			x.Began(f.at(i), n+1, Server{Key: n % 5, Boot: 1})
-			x.Ended(f.at(i)+100*time.Millisecond, n+1, true)
-		}
-	}
-	// All links have carried something, so that ages can be told.
 	for range 10 {
 		for i := range f.x {
 			f.send(i, 1)
@@ -55,34 +48,28 @@
 	}{
 		{"four are silent to at one server", func(f *fleet) {
 			for i := range 4 {
-				f.x[i].Began(f.at(i), 100, slow)
+				f.x[i].Charge(f.at(i), slow)
 			}
 		}, 10, all, 1},
 		{"one node's own link is bad: all servers are silent to it", func(f *fleet) {
 			for n := range uint64(5) {
-				f.x[0].Began(f.at(0), 100+n, Server{Key: n, Boot: 1})
+				f.x[0].Charge(f.at(0), Server{Key: n, Boot: 1})
 			}
 		}, 0, all, 0},
 		{"four nodes' links are bad", func(f *fleet) {
 			for i := range 4 {
 				for n := range uint64(5) {
-					f.x[i].Began(f.at(i), 100+n, Server{Key: n, Boot: 1})
+					f.x[i].Charge(f.at(i), Server{Key: n, Boot: 1})
 				}
 			}
 		}, 0, all, 0},
 		{"they speak of two starts of a server", func(f *fleet) {
-			f.x[0].Began(f.at(0), 100, slow)
-			f.x[1].Began(f.at(1), 100, Server{Key: 3, Boot: 2})
-		}, 0, all, 0},
-		{"answers come in time", func(f *fleet) {
-			for i := range 6 {
-				f.x[i].Began(f.at(i), 100, slow)
-				f.x[i].Ended(f.at(i)+250*time.Millisecond, 100, true)
-			}
+			f.x[0].Charge(f.at(0), slow)
+			f.x[1].Charge(f.at(1), Server{Key: 3, Boot: 2})
 		}, 0, all, 0},
 		{"no word comes through", func(f *fleet) {
 			for i := range 4 {
-				f.x[i].Began(f.at(i), 100, slow)
+				f.x[i].Charge(f.at(i), slow)
 			}
 		}, 0, func(int, int) int { return 0 }, 0},
 	} {
@@ -106,21 +93,20 @@
 func TestWitnessesAgreeInTime(t *testing.T) {
 	f := courtroom(t)
 	for i := range 6 {
-		f.x[i].Began(f.at(i), 100, Server{Key: 3, Boot: 1})
+		f.x[i].Charge(f.at(i), Server{Key: 3, Boot: 1})
 		if got := f.condemned(t, 800*time.Millisecond, all); len(got) > 0 {
 			t.Fatalf("told of %v by witnesses 0.8 s apart", got)
 		}
 	}
 }
 
-// What is remembered of charges and attempts is bounded, whatever comes.
+// What is remembered of charges is bounded, whatever comes.
 func TestCourtIsBounded(t *testing.T) {
 	x := NewExchange(Config{Self: 0, Group: 4, Life: 1, Customers: 100}, 0)
-	for n := range uint64(3 * attemptsMost) {
-		x.Began(time.Duration(n), n, Server{Key: n})
+	for n := range uint64(12000) {
 		x.court.hear(word{Server{Key: n, Boot: n}, int(n % 4)}, time.Duration(n))
 	}
-	if c := &x.court; len(c.out) > attemptsMost || len(c.watch) > attemptsMost || len(c.charges) > chargesKept || len(c.news) > chargesKept {
-		t.Errorf("%d attempts, %d watched, %d charges, %d news", len(c.out), len(c.watch), len(c.charges), len(c.news))
+	if c := &x.court; len(c.charges) > chargesKept || len(c.news) > chargesKept {
+		t.Errorf("%d servers charged, %d of them news", len(c.charges), len(c.news))
 	}
 }
--- a/fleet/zone/zone.go
+++ b/fleet/zone/zone.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -64,6 +65,18 @@
 	Return       // come back now, in steps
 )
 
+var orders = [...]string{"none", "leave", "hold", "return"}
+
+func (o Order) String() string { return orders[o] }
+
+// ParseOrder reads an order by its name.
+func ParseOrder(name string) (Order, error) {
+	if i := slices.Index(orders[:], name); i >= 0 {
+		return Order(i), nil
+	}
+	return None, fmt.Errorf("order %q is none of leave, hold, return and none", name)
+}
+
 // Zone is what is known of one zone.
 type Zone struct {
 	Name     string
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -77,6 +77,9 @@
 	if on.State {
 		file["state"] = map[string]any{"dir": filepath.Join(n.dir, "state")}
 	}
+	if on.Zones {
+		file["zones"] = map[string]any{"leave": true}
+	}
 	raw, err := toml.Marshal(file)
 	if err != nil {
 		return err
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -86,6 +86,7 @@
 	State    bool // what nodes have learnt outlives their processes
 	Limits   bool // and share what customers have left of their quotas
 	Verdicts bool // and which rating servers are slow
+	Zones    bool // a zone that fails is left
 }
 
 // Fleet is the size of a deployment and the limits of a node.
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -66,6 +66,9 @@
 			if n.loop.keeping != nil {
 				n.loop.keeping.write(&text)
 			}
+			if n.loop.zoning != nil {
+				n.loop.zoning.write(&text)
+			}
 			if n.loop.sharing != nil {
 				n.loop.sharing.write(&text)
 			}
@@ -84,6 +87,9 @@
 			fmt.Fprintln(w, "serving")
 		}},
 	}
+	if z := n.loop.zoning; z != nil {
+		calls["/zones"] = map[string]http.HandlerFunc{http.MethodGet: z.show, http.MethodPost: z.order}
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		methods, known := calls[r.URL.Path]
 		call := methods[r.Method]
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -24,6 +24,7 @@
 	Peers   *PeersConfig
 	Regions map[string][]string // the zones of each
 	State   *StateConfig
+	Zones   *ZonesConfig
 }
 
 // PeersConfig switches on that this node and others talk.
@@ -72,6 +73,9 @@
 	if f.State != nil && !filepath.IsAbs(f.State.Dir) {
 		return fmt.Errorf("state.dir: %q is no whole path", f.State.Dir)
 	}
+	if f.Zones != nil && f.Zones.Leave && len(f.Regions) == 0 {
+		return errors.New("zones.leave: regions name no zones")
+	}
 	p := f.Peers
 	if p == nil {
 		return nil
@@ -131,6 +135,10 @@
 	f, s := cfg.Fleet.Peers, &cfg.Settings
 	if f.Limits || f.Verdicts {
 		l.sharing = newSharing(s, *f, l)
+		if f.Verdicts {
+			w := l.watch()
+			w.late = append(w.late, l.sharing.charge)
+		}
 	}
 	return func() (*peer.Peers, error) {
 		host, _, err := net.SplitHostPort(cfg.Listen)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -20,6 +20,7 @@
 		strings.Replace(good, "127.0.0.1:7946", "127.0.0.1:99999", 1): "peers.seeds",
 		"[regions]\ng = [\"a\"]\nh = [\"a\"]\n":                       "zone a is in",
 		"[state]\ndir = \"x\"":                                        "state.dir",
+		"[zones]\nleave = true":                                       "zones.leave",
 		"[peers":                                                      "fleet file",
 	} {
 		path := filepath.Join(t.TempDir(), "fleet.toml")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -141,8 +141,10 @@
 	unitsTop  float64          // of one request; 0 is not told
 	pending   []control.Event  // that the node itself caused while it acted
 	stats     *stats
-	sharing   *sharing // nil is that nodes share nothing
-	keeping   *keeping // nil is that nothing outlives the process
+	watching  *watching // nil is that nobody asks which attempts are late
+	sharing   *sharing  // nil is that nodes share nothing
+	zoning    *zoning   // nil is that a zone is a price
+	keeping   *keeping  // nil is that nothing outlives the process
 }
 
 func newLoop(cfg Config, up *upstream, counts *stats) (*loop, error) {
@@ -326,7 +328,7 @@
 		}
 	}
 	x.stop, x.limit = append(x.stop, stop), append(x.limit, limit)
-	if l.sharing != nil {
+	if l.watching != nil {
 		x.watched = append(x.watched, 0)
 	}
 	if to == nil || x.done || ctx.Err() != nil || x.spent() || l.sendCap > 0 && x.sends > l.sendCap {
@@ -335,11 +337,11 @@
 		return
 	}
 	x.out++
-	if l.sharing != nil {
-		x.watched[n] = l.sharing.began(a.Server)
-		if n == 0 {
-			l.sharing.sent(&x.req, x.req.Units, false)
-		}
+	if l.watching != nil {
+		x.watched[n] = l.watching.began(a.Server)
+	}
+	if l.sharing != nil && n == 0 {
+		l.sharing.sent(&x.req, x.req.Units, false)
 	}
 	if l.keeping != nil && n == 0 {
 		l.keeping.granted(&x.req)
@@ -400,8 +402,8 @@
 func (l *loop) settle(x *exchange, n int, server uint32, sent time.Time, o outcome) {
 	l.over(x, n)
 	l.cost(x, o)
-	if l.sharing != nil {
-		l.sharing.ended(x.watched[n], o.reason == control.OK)
+	if l.watching != nil {
+		l.watching.ended(x.watched[n], o.reason)
 	}
 	x.out--
 	x.last = o.reason
@@ -459,6 +461,9 @@
 		if l.sharing != nil {
 			l.sharing.listed(id, t)
 		}
+		if l.zoning != nil {
+			l.zoning.listed(id, t)
+		}
 		m := t.member(id)
 		e.Members = append(e.Members, m)
 		listed[t.UID] = m.Condition != control.Off
@@ -476,6 +481,9 @@
 			if l.sharing != nil {
 				l.sharing.listed(id, nil)
 			}
+			if l.zoning != nil {
+				l.zoning.listed(id, nil)
+			}
 		}
 	}
 	l.handle(e)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,12 @@
 	if inherited {
 		n.dir = cfg.Dir
 	}
+	if cfg.Fleet != nil && cfg.Fleet.Zones != nil && cfg.Fleet.Zones.Leave {
+		l.zoning = newZoning(cfg, l)
+	}
+	if cfg.Fleet != nil && cfg.Fleet.State != nil {
+		l.keeping = newKeeping(cfg, l, func() string { return n.discovery.address() })
+	}
 	if cfg.Console != "" {
 		if n.console, err = newConsole(cfg.Console, n); err != nil {
 			cancel()
@@ -88,9 +94,6 @@
 			return nil, err
 		}
 	}
-	if cfg.Fleet != nil && cfg.Fleet.State != nil {
-		l.keeping = newKeeping(cfg, l, func() string { return n.discovery.address() })
-	}
 	if n.peering = peering(cfg, l); n.peering != nil {
 		p, err := n.peering()
 		// A process whose place this one takes has the address until it ends.
--- a/internal/node/sharing.go
+++ b/internal/node/sharing.go
@@ -31,7 +31,6 @@
 	on    PeersConfig             // what is shared
 	uids  map[uint32]share.Server // of the listed rating servers
 	ids   map[share.Server]uint32
-	tries uint64                     // attempts that were watched
 	peers atomic.Pointer[peer.Peers] // nil until the membership has begun
 	out   chan share.Out
 	done  sync.WaitGroup
@@ -168,22 +167,10 @@
 	}
 }
 
-// began watches an attempt; the number is its for ended, 0 where it is not watched.
-func (s *sharing) began(server uint32) uint64 {
-	v, ok := s.uids[server]
-	if s.ex == nil || !s.on.Verdicts || !ok {
-		return 0
-	}
-	s.tries++
-	s.ex.Began(s.loop.now(), s.tries, v)
-	s.arm()
-	return s.tries
-}
-
-// ended takes how an attempt that was watched ended.
-func (s *sharing) ended(number uint64, answered bool) {
-	if number > 0 {
-		s.ex.Ended(s.loop.now(), number, answered)
+// charge speaks against a server to the other nodes.
+func (s *sharing) charge(server uint32) {
+	if v, ok := s.uids[server]; ok && s.ex != nil && s.on.Verdicts {
+		s.ex.Charge(s.loop.now(), v)
 		s.arm()
 	}
 }
--- /dev/null
+++ b/internal/node/zoning_test.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"martennotch/fleet/zone"
+)
+
+// A zone whose server resets what it is sent is left; the operators' order goes before, and the
+// console says what the node does and why.
+func TestZoneIsLeft(t *testing.T) {
+	good, bad := newApp(t, served), newApp(t, reset)
+	r := newRigWith(t, func(c *Config) {
+		c.Fleet = &Fleet{Regions: map[string][]string{"gulf": {"z1", "z2"}}, Zones: &ZonesConfig{Leave: true}}
+	})
+	a := good.target("a", 1)
+	a.Zone = "z1"
+	all := []target{a}
+	for i := range 8 { // one alone is a server's matter, and put aside before the zone is judged
+		b := bad.target(fmt.Sprint("b", i), 1)
+		b.Zone = "z2"
+		all = append(all, b)
+	}
+	r.list(all...)
+	state := func(want zone.State) func() bool {
+		return func() bool {
+			for _, v := range *r.node.loop.zoning.views.Load() {
+				if v.Zone == "z2" {
+					return v.State == want
+				}
+			}
+			return false
+		}
+	}
+	for i := range 60 {
+		r.do(r.call(http.MethodGet, "/roster-read", fmt.Sprint(i)))
+	}
+	r.wait("the zone to be left", state(zone.Left))
+	n := bad.count()
+	for i := range 20 {
+		if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", fmt.Sprint("x", i))); resp.StatusCode != http.StatusOK {
+			t.Errorf("a request is answered %d while the other zone serves", resp.StatusCode)
+		}
+	}
+	if got := bad.count(); got != n {
+		t.Errorf("%d more attempts at the zone that was left", got-n)
+	}
+	call := func(method, path string) (int, string) {
+		req, err := http.NewRequest(method, "http://"+r.node.console.listener.Addr().String()+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode, string(body)
+	}
+	if code, body := call(http.MethodGet, "/zones"); code != 200 || !strings.Contains(body, `"left"`) || !strings.Contains(body, "most of it fails") {
+		t.Errorf("%d %s", code, body)
+	}
+	if code, body := call(http.MethodPost, "/zones?zone=z1&order=leave"); code != 200 || !strings.Contains(body, `"leave"`) {
+		t.Errorf("%d %s", code, body)
+	}
+	for path, want := range map[string]int{"/zones?zone=z9&order=leave": 404, "/zones?zone=z1&order=go": 400} {
+		if code, body := call(http.MethodPost, path); code != want {
+			t.Errorf("%s: %d %s", path, code, body)
+		}
+	}
+	if resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "last")); resp.StatusCode == 0 {
+		t.Error("no answer with all zones left")
+	}
+}
