--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1056,3 +1056,68 @@
 		}
 	}
 }
+
+// sentTo counts to which servers some requests go, each answered at once.
+func (g *gate) sentTo(n int) map[uint32]int {
+	got := map[uint32]int{}
+	for i := range n {
+		id := fmt.Sprint("to", g.now, i)
+		for _, a := range g.c.Handle(g.now, Request{ID: id, Class: "job", Plan: "high", Customer: id, TTL: 5 * time.Second, Units: 1, Spread: 1}) {
+			if s, ok := a.(Send); ok {
+				got[s.Server]++
+				g.now += 5 * ms
+				g.c.Handle(g.now, Response{ID: id, Server: s.Server, Reason: OK, Done: true})
+			}
+		}
+	}
+	return got
+}
+
+// A server that others speak against gets next to nothing until the word is too old, or an own answer
+// speaks for it; no more than a third of all are taken so. A zone that is left gets nothing while
+// another is there, and all where it is the only one.
+func TestOthersWordAndZones(t *testing.T) {
+	fresh := func() *gate {
+		g := newGate(t, settings(), on(1, 2, 3, 4, 5, 6)...)
+		g.sentTo(60)
+		return g
+	}
+	g := fresh()
+	g.c.Handle(g.now, Hearsay{Server: 1, Witnesses: 4, Until: g.now + time.Second})
+	if got := g.sentTo(60); got[1] > 2 {
+		t.Errorf("others speak against 1: sent %v", got)
+	}
+	g.now += time.Second
+	if got := g.sentTo(60); got[1] == 0 {
+		t.Errorf("the word is old: sent %v", got)
+	}
+	g = fresh()
+	for s := range uint32(6) {
+		g.c.Handle(g.now, Hearsay{Server: s + 1, Until: g.now + time.Minute})
+	}
+	if got := g.sentTo(60); len(got) != 3 {
+		t.Errorf("others speak against all of six: sent %v", got)
+	}
+	g = fresh()
+	s := g.c.servers[1]
+	g.c.Handle(g.now, Hearsay{Server: 1, Until: g.now + time.Minute})
+	if s.latencyAt = g.now + 1; g.c.spoken(s) {
+		t.Error("an own answer as fast as others' does not speak for a server")
+	}
+	g = fresh()
+	for n, m := range g.c.order {
+		m.Zone = map[bool]string{true: "z1", false: "z2"}[n < 3]
+	}
+	g.c.Handle(g.now, Zones{Away: map[string]float64{"z2": 1}})
+	if got := g.sentTo(60); got[4]+got[5]+got[6] > 0 {
+		t.Errorf("z2 is left: sent %v", got)
+	}
+	g.c.Handle(g.now, Zones{Away: map[string]float64{"z1": 1, "z2": 1}})
+	if got := g.sentTo(60); len(got) < 5 {
+		t.Errorf("all are left: sent %v", got)
+	}
+	g.c.Handle(g.now, Zones{Away: map[string]float64{"z2": 0.5}})
+	if got := g.sentTo(400); got[4]+got[5]+got[6] < 50 || got[4]+got[5]+got[6] > 180 {
+		t.Errorf("z2 has half of its traffic: sent %v", got)
+	}
+}
--- a/fleet/share/exchange.go
+++ b/fleet/share/exchange.go
@@ -59,6 +59,7 @@
 	epoch  uint64   // of the live nodes
 	nodes  []int    // that are live, this one among them, in order
 	alive  []bool   // by index
+	left   bool     // this one has taken leave: it tells, and owns nothing
 	lives  []uint64 // of their processes, by index; of one that has gone, the last; 0 is not known
 	cells  cells
 	head   int   // that tells this node; itself where it is one
@@ -216,10 +217,12 @@
 // settle puts a membership in force.
 func (x *Exchange) settle(now time.Duration, others []Node) {
 	x.epoch++
-	x.nodes, x.alive = append(x.nodes[:0], x.cfg.Self), make([]bool, x.cfg.Group)
-	x.alive[x.cfg.Self] = true
+	x.nodes, x.alive = x.nodes[:0], make([]bool, x.cfg.Group)
+	if !x.left {
+		x.nodes, x.alive[x.cfg.Self] = append(x.nodes, x.cfg.Self), true
+	}
 	for _, n := range others {
-		if n.Index < 0 || n.Index >= x.cfg.Group || x.alive[n.Index] {
+		if n.Index < 0 || n.Index >= x.cfg.Group || n.Index == x.cfg.Self || x.alive[n.Index] {
 			continue
 		}
 		x.nodes, x.alive[n.Index], x.lives[n.Index] = append(x.nodes, n.Index), true, n.Life
@@ -242,7 +245,7 @@
 // without any; what it sends on from now on it tells them. Flush is to be called after it.
 func (x *Exchange) Leave(now time.Duration) {
 	x.epoch++
-	x.alive[x.cfg.Self] = false
+	x.left, x.alive[x.cfg.Self] = true, false
 	for _, key := range slices.Sorted(maps.Keys(x.owned)) {
 		e := x.owned[key]
 		if x.ownerOf(e, now); e.owner >= 0 {
@@ -696,7 +699,10 @@
 
 // beat tells, as an owner, the stores that are due and that all others are not low.
 func (x *Exchange) beat(now time.Duration, out []Out) []Out {
-	if now > x.lastUse+beatFor && x.up.empty() {
+	if x.left {
+		x.up = newNews()
+	}
+	if x.left || now > x.lastUse+beatFor && x.up.empty() {
 		return out
 	}
 	if now < x.beatAt || now < x.quietUntil {
--- a/fleet/share/exchange_test.go
+++ b/fleet/share/exchange_test.go
@@ -270,7 +270,11 @@
 	f.x[owner].Leave(f.at(owner))
 	f.flush()
 	f.alive[owner] = false
-	f.tellLive(func(a, b int) bool { return true })
+	f.tellLive(func(a, b int) bool { return true }) // it goes on for a while, and hears of who comes and goes
+	f.send(owner, 1)
+	if _, ok := f.level(owner); ok || len(f.x[owner].owned) > 0 {
+		t.Error("one that has left owns a store")
+	}
 	f.run(t, 200*time.Millisecond, all)
 	next := f.x[f.owner()]
 	e := next.owned[customer]
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -127,6 +127,10 @@
 		for i := range with {
 			a, b = append(a, with[i].Get(f.Name)), append(b, against[i].Get(f.Name))
 		}
+		if slices.ContainsFunc(b, math.IsNaN) { // the other side has no such figure
+			fmt.Fprintf(t, "%s\t%.4g\t-\t\t\t%s\n", f.Name, Of(a).Median, f.Unit)
+			continue
+		}
 		mean, half := Paired(a, b)
 		fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%+.4g\t±%.2g\t%s\n", f.Name, Of(a).Median, Of(b).Median, mean, half, f.Unit)
 	}
--- a/internal/node/sharing.go
+++ b/internal/node/sharing.go
@@ -175,7 +175,8 @@
 	}
 }
 
-// judge tells the module of servers against which enough nodes speak.
+// judge tells the module of servers against which enough nodes speak. It is not to be called while
+// the loop carries out what the module answered.
 func (s *sharing) judge() {
 	for _, v := range s.ex.Verdicts(s.loop.now(), len(s.ids)) {
 		if id, ok := s.ids[v.Server]; ok {
@@ -264,7 +265,12 @@
 	s.loop.post(func() {
 		s.waiting.Add(-1)
 		if s.ex != nil {
-			s.ex.Hear(s.loop.now(), m)
+			now := s.loop.now()
+			s.ex.Hear(now, m)
+			if when, ok := s.ex.Wake(); ok && when <= now { // as most answers to others are
+				s.flush()
+				return
+			}
 			s.judge()
 			s.arm()
 		}
