--- a/fleet/share/exchange.go
+++ b/fleet/share/exchange.go
@@ -257,7 +257,7 @@
 // hand gives a store to its new owner.
 func (x *Exchange) hand(e *entry, now time.Duration) {
 	l := x.dueBy(e.owner, now)
-	l.hands = append(l.hands, Hand{Customer: e.key, Plan: e.plan, First: e.set.First, Spread: e.set.Spread, Level: float32(e.store.Level(now))})
+	l.hands = append(l.hands, Hand{Customer: e.key, Plan: e.plan, First: e.set.First, Spread: e.set.Spread, Level: float32(e.store.Level(now)), Taken: float32(math.Min(unitsMost, e.store.taken)), Guessed: e.store.guessed})
 	x.Counts.Handed++
 	e.view.Hear(e.store.Level(now), now)
 	e.store = nil
@@ -329,7 +329,7 @@
 		level = lowPart * e.quota.Depth
 	}
 	e.store = NewStore(e.quota, level, now)
-	e.store.guessed = true
+	e.store.guessed = e.moved && now < e.movedAt+beatFor
 	x.owned[e.key] = e
 	return e.store
 }
@@ -519,7 +519,7 @@
 			continue
 		}
 		x.Counts.Taken++
-		x.store(e, now).Merge(float64(h.Level), now) // the refill on its way is left out
+		x.store(e, now).Merge(float64(h.Level), float64(h.Taken), h.Guessed, now) // the refill on its way is left out
 		x.count(e, 0, now)
 	}
 	for _, u := range m.Uses {
--- a/fleet/share/message.go
+++ b/fleet/share/message.go
@@ -60,7 +60,8 @@
 	First    int
 	Spread   int
 	Level    float32
-	Age      uint32 // ms
+	Taken    float32 // since it was made
+	Guessed  bool    // made to follow an owner that was not heard
 }
 
 // Level is the units that a customer's store held.
@@ -132,7 +133,7 @@
 		}
 	}
 	for _, h := range m.Hands {
-		if !set(h.First, h.Spread) || !units(h.Level) || h.Age > ageMost {
+		if !set(h.First, h.Spread) || !units(h.Level) || !units(h.Taken) {
 			return errors.New("a store that can't be")
 		}
 	}
--- a/fleet/share/share.go
+++ b/fleet/share/share.go
@@ -61,16 +61,20 @@
 	s.level, s.at = math.Max(0, math.Min(s.Depth, level)), now
 }
 
-// Merge takes over the store of another that held it, at the level that it had there. Where this
-// one began with a guess, the other's level stands, less what was taken here since; where both
-// were held at once, as on two sides of a partition, what either has given is gone.
-func (s *Store) Merge(level float64, now time.Duration) {
-	if s.guessed {
+// Merge takes over the store of another that held it. Where this one was made to follow it, the
+// other's level stands, less what was taken here since. Where the other was made to follow this one,
+// which was not heard but there, as on a side of a partition, what was taken there is gone here too.
+// Of two that are neither the lower counts.
+func (s *Store) Merge(level, taken float64, guessed bool, now time.Duration) {
+	switch {
+	case s.guessed && !guessed:
 		s.guessed = false
 		s.set(level-s.taken, now)
-		return
+	case !s.guessed && guessed:
+		s.set(math.Min(s.Level(now)-taken, level), now)
+	default:
+		s.set(math.Min(s.Level(now), level), now)
 	}
-	s.set(s.Level(now)-(s.Depth-math.Min(s.Depth, level)), now)
 }
 
 // Due gives the level that is to be told now, if one is: while the store is low, when the others
