--- a/control/control.go
+++ b/control/control.go
@@ -224,8 +224,7 @@
 	if q == nil {
 		q = &customer{plan: p, at: c.now, seenFrom: c.now, level: c.whole() * p.Depth, carry: c.rng.Float64(),
 			spread: math.Max(1, float64(spread)), smooth: usePrior * p.Rate}
-		// A gateway just started does not know what its former self has passed on: the
-		// ceiling's store begins with the slack only and fills from the gateway's start.
+		// Just started, the ceiling's store has the slack only: what a former self passed on is not known.
 		q.ceiling = c.whole() * (ceilingStart*p.CeilingSlack + (c.now-c.start).Seconds()*p.CeilingRate) / q.spread
 		q.openCap = c.whole() * float64(p.Open) / q.spread
 		c.custs[key] = q
@@ -367,7 +366,10 @@
 func (c *Controller) draw(q *customer, units float64) {
 	c.refill(q)
 	q.ceiling -= units
-	f := units * c.others(q)
+	f := units
+	if !q.shared { // what others send is in what is told
+		f *= c.others(q)
+	}
 	q.level = math.Max(-q.plan.Depth, q.level-f)
 	q.own.add(units)
 	q.charged.add(f)
@@ -395,9 +397,8 @@
 	if asked > 0 {
 		force = q.refused.over(end) / asked
 	}
-	// Where many gateways decide, what all let through of the demand is what fits it once use is at
-	// the quota; own refusals say little of theirs. Guards against a belief that runs away, as each
-	// takes what it refuses itself to be refused everywhere.
+	// Where many decide, what all let through is what fits once use is at the quota. Guards against a
+	// belief that runs away, as each takes what it refuses itself to be refused everywhere.
 	few := q.few()
 	if q.plan.Rate > 0 && q.metered {
 		force = few*force + (1-few)*(1-c.fits(q))
@@ -1003,7 +1004,6 @@
 
 // again gives a request a further attempt where the rules, the attempt limit, the retry budget and its
 // time allow one; else it ends it. What failed at once took little work and takes little of the budget.
-// Guards against a storm of errors that uses it up while most servers still serve half.
 func (c *Controller) again(r *request, a *attempt, e Response) {
 	price, why := 1.0, e.Reason
 	if why == Errored || why == ResetByPeer || why == ConnectFailed {
