--- a/internal/node/keeping.go
+++ b/internal/node/keeping.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/common/expfmt"
 
 	"martennotch/control"
 	"martennotch/internal/store"
@@ -84,17 +83,7 @@
 }
 
 // write gives the figures in the text form of Prometheus.
-func (k *keeping) write(w io.Writer) {
-	families, err := k.registry.Gather()
-	if err != nil {
-		slog.Error("state: figures", "err", err)
-	}
-	for _, f := range families {
-		if _, err := expfmt.MetricFamilyToText(w, f); err != nil {
-			return
-		}
-	}
-}
+func (k *keeping) write(w io.Writer) { writeRegistry(w, k.registry) }
 
 // open takes the folder and, unless another process has handed over what it knows, what is kept
 // there. It is called before the loop runs. False is that another process has the folder.
--- a/internal/node/keeping_test.go
+++ b/internal/node/keeping_test.go
@@ -10,14 +10,6 @@
 	"time"
 )
 
-func askAlone(r *rig, id string, units int) int {
-	req := r.call(http.MethodGet, "/roster-read", id)
-	req.Header.Set(headerPlan, "basic")
-	req.Header.Set(headerWeight, fmt.Sprintf("units=%d,spread=1,first=0", units))
-	resp, _ := r.do(req)
-	return resp.StatusCode
-}
-
 // end stops a node and waits for its end.
 func (r *rig) end() {
 	r.stop()
@@ -43,7 +35,7 @@
 			}
 			a := newRigWith(t, with)
 			a.list(app.target("a", 1))
-			for i := 0; askAlone(a, fmt.Sprint("a", i), 1) == http.StatusOK; i++ {
+			for i := 0; askBasic(a, fmt.Sprint("a", i), 1, 1) == http.StatusOK; i++ {
 				if i > 20 {
 					t.Fatal("the store is never empty")
 				}
@@ -72,7 +64,7 @@
 			if how == "spoilt" || how == "off" {
 				want = http.StatusOK
 			}
-			if got := askAlone(b, "b", 4); got != want {
+			if got := askBasic(b, "b", 4, 1); got != want {
 				t.Errorf("the next process answers %d, wanted %d", got, want)
 			}
 			names, err := os.ReadDir(dir)
--- a/internal/node/sharing.go
+++ b/internal/node/sharing.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/common/expfmt"
 
 	"martennotch/control"
 	"martennotch/fleet/share"
@@ -92,17 +91,7 @@
 }
 
 // write gives the figures in the text form of Prometheus.
-func (s *sharing) write(w io.Writer) {
-	families, err := s.registry.Gather()
-	if err != nil {
-		slog.Error("sharing: figures", "err", err)
-	}
-	for _, f := range families {
-		if _, err := expfmt.MetricFamilyToText(w, f); err != nil {
-			return
-		}
-	}
-}
+func (s *sharing) write(w io.Writer) { writeRegistry(w, s.registry) }
 
 // start begins to take part, once the membership has begun.
 func (s *sharing) start(p *peer.Peers) {
--- a/internal/node/sharing_test.go
+++ b/internal/node/sharing_test.go
@@ -38,11 +38,11 @@
 	return rigs
 }
 
-// askBasic sends a request of a small quota through both nodes' customer.
-func askBasic(r *rig, id string, units int) int {
+// askBasic sends a request of a small quota, of a customer that so many nodes share.
+func askBasic(r *rig, id string, units, spread int) int {
 	req := r.call(http.MethodGet, "/roster-read", id)
 	req.Header.Set(headerPlan, "basic")
-	req.Header.Set(headerWeight, fmt.Sprintf("units=%d,spread=2,first=0", units))
+	req.Header.Set(headerWeight, fmt.Sprintf("units=%d,spread=%d,first=0", units, spread))
 	resp, _ := r.do(req)
 	return resp.StatusCode
 }
@@ -58,18 +58,18 @@
 			for _, r := range rigs {
 				r.list(app.target("a", 1))
 				if limits {
-					askBasic(r, "first", 1) // so that the store has an owner that tells of it
+					askBasic(r, "first", 1, 2) // so that the store has an owner that tells of it
 					r.wait("any word", func() bool { return r.node.loop.sharing.known(q) != nil })
 				}
 			}
-			for i := 0; askBasic(rigs[0], fmt.Sprint("a", i), 1) == http.StatusOK; i++ {
+			for i := 0; askBasic(rigs[0], fmt.Sprint("a", i), 1, 2) == http.StatusOK; i++ {
 				if i > 20 {
 					t.Fatal("the store is never empty")
 				}
 			}
 			b := rigs[1]
 			if !limits {
-				if got := askBasic(b, "b", 4); got != http.StatusOK {
+				if got := askBasic(b, "b", 4, 2); got != http.StatusOK {
 					t.Errorf("a node that knows nothing answers %d", got)
 				}
 				return
@@ -78,7 +78,7 @@
 				s := b.node.loop.sharing.known(q)
 				return s != nil && !s.Least && s.Units < 3
 			})
-			if got := askBasic(b, "b", 4); got != http.StatusServiceUnavailable {
+			if got := askBasic(b, "b", 4, 2); got != http.StatusServiceUnavailable {
 				t.Errorf("a node that is told of an empty store answers %d", got)
 			}
 			var text strings.Builder
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"slices"
 	"sync/atomic"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
 	"martennotch/control"
 )
 
@@ -79,3 +83,16 @@
 func writeFigure(w io.Writer, name, kind, help string, value *atomic.Int64) {
 	fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n%s %d\n", name, help, name, kind, name, value.Load())
 }
+
+// writeRegistry gives the figures of what a fleet file switches on, in the same form.
+func writeRegistry(w io.Writer, r *prometheus.Registry) {
+	families, err := r.Gather()
+	if err != nil {
+		slog.Error("figures", "err", err)
+	}
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(w, f); err != nil {
+			return
+		}
+	}
+}
