Keep the marks of the process before when its folder is taken over

A process that took the folder after a handover wrote its own marks alone, so customers that had not sent to it yet had full bursts again after a crash: what was granted under a mark on the disk could be granted twice. It now reads what is there first and goes on with it. TestFolderInUse fails without this and passes with it.

--- a/internal/node/keeping.go
+++ b/internal/node/keeping.go
@@ -93,11 +93,7 @@
 		slog.Warn("state: not kept", "err", err)
 		return !errors.Is(err, store.ErrUsed)
 	}
-	kept, err := f.Read()
-	if err != nil {
-		slog.Error("state: put aside, from nothing", "err", err)
-		k.dropped.Inc()
-	}
+	kept := k.read(f)
 	if kept != nil && !inherited {
 		k.recall(n, kept)
 	}
@@ -105,6 +101,16 @@
 	return true
 }
 
+// read gives what is kept; nil is nothing of use.
+func (k *keeping) read(f *store.Folder) *store.State {
+	kept, err := f.Read()
+	if err != nil {
+		slog.Error("state: put aside, from nothing", "err", err)
+		k.dropped.Inc()
+	}
+	return kept
+}
+
 // openLater takes the folder when the process before has left it, until ctx ends.
 func (k *keeping) openLater(ctx context.Context) {
 	t := time.NewTicker(lockAgain)
@@ -123,7 +129,9 @@
 			slog.Warn("state: not kept", "err", err)
 			return
 		}
-		if !k.loop.post(func() { k.begin(f, nil) }) {
+		// What the process before had marked goes on: its customers may not send here before a crash.
+		kept := k.read(f)
+		if !k.loop.post(func() { k.begin(f, kept) }) {
 			f.Close()
 		}
 		return
--- a/internal/node/keeping_test.go
+++ b/internal/node/keeping_test.go
@@ -83,15 +83,28 @@
 }
 
 // A process that finds the folder in use serves all the same, and keeps its state when the one
-// before has ended.
+// before has ended, with what that one had marked.
 func TestFolderInUse(t *testing.T) {
 	dir := t.TempDir()
 	with := func(c *Config) { c.Fleet = &Fleet{State: &StateConfig{Dir: dir}} }
+	app := newApp(t, served)
 	a := newRigWith(t, with)
-	a.list()
+	a.list(app.target("a", 1))
+	if got := askBasic(a, "a", 4, 1); got != http.StatusOK {
+		t.Fatalf("answered %d", got)
+	}
 	b := newRigWith(t, with)
-	b.list()
+	b.list(app.target("a", 1))
 	b.wait("no folder", func() bool { return b.node.loop.keeping.keeper == nil })
 	a.end()
 	b.wait("the folder", func() bool { return b.node.loop.keeping.keeper != nil })
+	req := b.call(http.MethodGet, "/roster-read", "b") // another customer's
+	if resp, _ := b.do(req); resp.StatusCode != http.StatusOK {
+		t.Fatalf("answered %d", resp.StatusCode)
+	}
+	b.wait("a state of its own", func() bool { return b.node.loop.keeping.writtenAt.Load() > 0 })
+	raw, err := os.ReadFile(filepath.Join(dir, "state"))
+	if err != nil || !strings.Contains(string(raw), "basic") || !strings.Contains(string(raw), "enterprise") {
+		t.Errorf("the state lacks the mark of the process before, or one of its own: %v", err)
+	}
 }
