--- a/internal/node/keeping_test.go
+++ b/internal/node/keeping_test.go
@@ -5,9 +5,12 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"martennotch/internal/store"
 )
 
 // end stops a node and waits for its end.
@@ -103,8 +106,14 @@
 		t.Fatalf("answered %d", resp.StatusCode)
 	}
 	b.wait("a state of its own", func() bool { return b.node.loop.keeping.writtenAt.Load() > 0 })
-	raw, err := os.ReadFile(filepath.Join(dir, "state"))
-	if err != nil || !strings.Contains(string(raw), "basic") || !strings.Contains(string(raw), "enterprise") {
-		t.Errorf("the state lacks the mark of the process before, or one of its own: %v", err)
+	b.end()
+	f, err := store.Open(dir, "n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	s, err := f.Read()
+	if err != nil || !slices.ContainsFunc(s.Records, func(r store.Record) bool { return r.Plan == "basic" }) {
+		t.Errorf("the state lacks the mark of the process before: %+v, %v", s, err)
 	}
 }
