--- /dev/null
+++ b/internal/lab/change.go
@@ -0,0 +1,48 @@
+package lab
+
+import (
+	"context"
+	"time"
+
+	"martennotch/internal/lab/discovery"
+	"martennotch/internal/lab/record"
+)
+
+// target is a server's entry in the list of one node.
+func (p *play) target(node, server int, state string) discovery.Target {
+	m := p.day.Servers[server]
+	boot := int64(0)
+	if since := p.servers[server].Since(); since > -time.Minute {
+		boot = p.zero.Add(since).UnixMilli()
+	}
+	return discovery.Target{UID: m.UID, Endpoint: p.fleet.Address(server, node), AZ: p.day.Zones[m.Zone].Name, Model: "std-3core",
+		PodGroup: m.Cell, State: state, Capacity: 1, BootMS: boot}
+}
+
+// change tells all agents of a server's change, each after its lateness.
+func (p *play) change(ctx context.Context, server int, state string, notice time.Duration) {
+	at := p.clock()
+	p.mu.Lock()
+	if p.revs == nil {
+		p.revs = map[int]int{}
+	}
+	p.revs[server]++
+	rev := p.revs[server]
+	p.mu.Unlock()
+	for i, n := range p.day.Nodes {
+		p.book.Changed(record.Pair{Node: i, Server: server}, at, state)
+		p.after(ctx, notice+n.Late, func() {
+			p.mu.Lock()
+			newest := rev == p.revs[server]
+			p.mu.Unlock()
+			if newest {
+				p.agents[i].Put(server, p.target(i, server, state))
+			}
+		})
+	}
+}
+
+// told notes that a node has been written an entry.
+func (p *play) told(node, server int, state string) {
+	p.book.Heard(record.Pair{Node: node, Server: server}, p.clock(), state)
+}
--- /dev/null
+++ b/internal/lab/scenario/check.go
@@ -0,0 +1,77 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+)
+
+// kinds are the faults that can be named, with what each needs beyond its time.
+var kinds = map[string]struct{ share, size, span bool }{
+	"kill":    {share: true},             // SIGKILL of nodes; they start anew after for_s
+	"stop":    {share: true, span: true}, // SIGSTOP, then SIGCONT
+	"restart": {share: true},             // SIGTERM of some nodes each each_s until share is through
+	"slow":    {share: true, size: true, span: true},
+	"errors":  {share: true, size: true, span: true},
+	"pause":   {share: true, span: true},
+	"crash":   {share: true},             // servers die; back cold after for_s
+	"zone":    {span: true},              // servers of a zone vanish, back cold
+	"split":   {span: true},              // a zone is cut off from the others
+	"oneway":  {span: true},              // from a zone requests go out, answers do not come
+	"delay":   {size: true, span: true},  // links to a zone take size ms longer
+	"loss":    {size: true, span: true},  // part of the packets of links to a zone is lost
+	"reset":   {share: true},             // open connections to some servers are reset
+	"replace": {share: true, span: true}, // servers drain and new ones come, over for_s
+	"dark":    {span: true},              // discovery is silent
+	"spoilt":  {span: true},              // discovery sends what is no list
+	"move":    {},                        // discovery moves; nodes get SIGHUP
+	"counter": {span: true},              // the counter is gone, back empty
+	"burst":   {size: true, span: true},  // everybody asks size times as much
+	"shared":  {size: true, span: true},  // all servers are slower by size
+}
+
+func (f *File) check() error {
+	switch {
+	case f.Name == "":
+		return errors.New("name: there is none")
+	case !(f.Seconds >= 1 && f.Seconds <= 3600):
+		return fmt.Errorf("seconds: %g is not within 1 to 3600", f.Seconds)
+	case f.Fleet.Nodes.Lo < 1 || f.Fleet.Nodes.Hi > 10000:
+		return fmt.Errorf("fleet.nodes: %v is not within 1 to 10000", f.Fleet.Nodes)
+	case f.Fleet.Servers.Lo < 1 || f.Fleet.Servers.Hi > 10000:
+		return fmt.Errorf("fleet.servers: %v is not within 1 to 10000", f.Fleet.Servers)
+	case f.Fleet.Zones.Lo < 1 || f.Fleet.Zones.Hi > 26:
+		return fmt.Errorf("fleet.zones: %v is not within 1 to 26", f.Fleet.Zones)
+	case len(f.Class) == 0 || len(f.Plan) == 0:
+		return errors.New("class, plan: at least one of each is needed")
+	}
+	for i, x := range f.Fault {
+		k, ok := kinds[x.Kind]
+		at := fmt.Sprintf("fault %d (%s): ", i+1, x.Kind)
+		switch {
+		case !ok:
+			return fmt.Errorf("%sno such kind", at)
+		case x.AtS.Hi+x.ForS.Hi > f.Seconds && k.span:
+			return fmt.Errorf("%sends after the day of %g s", at, f.Seconds)
+		case k.share && !(x.Share.Lo > 0 && x.Share.Hi <= 1):
+			return fmt.Errorf("%sshare: %v is not within 0 to 1", at, x.Share)
+		case k.size && !(x.Size.Lo > 0):
+			return fmt.Errorf("%ssize: %v is not positive", at, x.Size)
+		case k.span && !(x.ForS.Lo > 0):
+			return fmt.Errorf("%sfor_s: %v is not positive", at, x.ForS)
+		case x.Zone != nil && (*x.Zone < 0 || *x.Zone >= int(f.Fleet.Zones.Lo)):
+			return fmt.Errorf("%szone: there is no zone %d", at, *x.Zone)
+		}
+	}
+	if (f.On.Limits || f.On.Verdicts) && !f.On.Peers {
+		return errors.New("on.limits, on.verdicts: on.peers has to be true too")
+	}
+	for _, c := range f.Class {
+		if !(c.AimMS > 0 && c.DeadlineMS >= c.AimMS) {
+			return fmt.Errorf("class %s: aim_ms and deadline_ms: %g and %g do not fit", c.Name, c.AimMS, c.DeadlineMS)
+		}
+		if c.Effect != "free" && c.Effect != "guarded" && c.Effect != "single_shot" {
+			return fmt.Errorf("class %s: effect: unknown value %q", c.Name, c.Effect)
+		}
+	}
+	return nil
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -4,10 +4,8 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,49 +14,6 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Range is a figure that is drawn anew for each seed; in a file it is a number or [low, high].
-type Range struct{ Lo, Hi float64 }
-
-// UnmarshalTOML reads a number or a pair.
-func (r *Range) UnmarshalTOML(raw []byte) error {
-	var v struct{ V any }
-	if err := toml.Unmarshal(append([]byte("V = "), raw...), &v); err != nil {
-		return err
-	}
-	figure := func(v any) (float64, error) {
-		switch v := v.(type) {
-		case int64:
-			return float64(v), nil
-		case float64:
-			return v, nil
-		}
-		return 0, fmt.Errorf("%v is no number", v)
-	}
-	pair, ok := v.V.([]any)
-	if !ok {
-		pair = []any{v.V, v.V}
-	}
-	if len(pair) != 2 {
-		return fmt.Errorf("%s is neither a number nor [low, high]", raw)
-	}
-	var err1, err2 error
-	r.Lo, err1 = figure(pair[0])
-	r.Hi, err2 = figure(pair[1])
-	if err := cmp.Or(err1, err2); err != nil {
-		return err
-	}
-	if r.Lo > r.Hi {
-		return fmt.Errorf("low %g is above high %g", r.Lo, r.Hi)
-	}
-	return nil
-}
-
-func (r Range) draw(rng *rand.Rand) float64 { return r.Lo + (r.Hi-r.Lo)*rng.Float64() }
-
-func (r Range) whole(rng *rand.Rand) int {
-	return int(r.Lo) + rng.IntN(int(r.Hi)-int(r.Lo)+1)
-}
-
 // File is a scenario as written. Spans end in S (seconds) or MS (milliseconds); shares are parts
 // of one.
 type File struct {
@@ -235,30 +190,6 @@
 	ViewsBack    float64 `toml:"views_back_s"`      // after the last fault, until all nodes see each other; 0 is not held
 }
 
-// kinds are the faults that can be named, with what each needs beyond its time.
-var kinds = map[string]struct{ share, size, span bool }{
-	"kill":    {share: true},             // SIGKILL of nodes; they start anew after for_s
-	"stop":    {share: true, span: true}, // SIGSTOP, then SIGCONT
-	"restart": {share: true},             // SIGTERM of some nodes each each_s until share is through
-	"slow":    {share: true, size: true, span: true},
-	"errors":  {share: true, size: true, span: true},
-	"pause":   {share: true, span: true},
-	"crash":   {share: true},             // servers die; back cold after for_s
-	"zone":    {span: true},              // servers of a zone vanish, back cold
-	"split":   {span: true},              // a zone is cut off from the others
-	"oneway":  {span: true},              // from a zone requests go out, answers do not come
-	"delay":   {size: true, span: true},  // links to a zone take size ms longer
-	"loss":    {size: true, span: true},  // part of the packets of links to a zone is lost
-	"reset":   {share: true},             // open connections to some servers are reset
-	"replace": {share: true, span: true}, // servers drain and new ones come, over for_s
-	"dark":    {span: true},              // discovery is silent
-	"spoilt":  {span: true},              // discovery sends what is no list
-	"move":    {},                        // discovery moves; nodes get SIGHUP
-	"counter": {span: true},              // the counter is gone, back empty
-	"burst":   {size: true, span: true},  // everybody asks size times as much
-	"shared":  {size: true, span: true},  // all servers are slower by size
-}
-
 // Read reads a scenario file; an unknown key is an error. Each of set is a KEY=VALUE in the file's
 // own form that goes before what the file has.
 func Read(path string, set ...string) (*File, error) {
@@ -324,79 +255,6 @@
 	return err
 }
 
-func (f *File) check() error {
-	switch {
-	case f.Name == "":
-		return errors.New("name: there is none")
-	case !(f.Seconds >= 1 && f.Seconds <= 3600):
-		return fmt.Errorf("seconds: %g is not within 1 to 3600", f.Seconds)
-	case f.Fleet.Nodes.Lo < 1 || f.Fleet.Nodes.Hi > 10000:
-		return fmt.Errorf("fleet.nodes: %v is not within 1 to 10000", f.Fleet.Nodes)
-	case f.Fleet.Servers.Lo < 1 || f.Fleet.Servers.Hi > 10000:
-		return fmt.Errorf("fleet.servers: %v is not within 1 to 10000", f.Fleet.Servers)
-	case f.Fleet.Zones.Lo < 1 || f.Fleet.Zones.Hi > 26:
-		return fmt.Errorf("fleet.zones: %v is not within 1 to 26", f.Fleet.Zones)
-	case len(f.Class) == 0 || len(f.Plan) == 0:
-		return errors.New("class, plan: at least one of each is needed")
-	}
-	for i, x := range f.Fault {
-		k, ok := kinds[x.Kind]
-		at := fmt.Sprintf("fault %d (%s): ", i+1, x.Kind)
-		switch {
-		case !ok:
-			return fmt.Errorf("%sno such kind", at)
-		case x.AtS.Hi+x.ForS.Hi > f.Seconds && k.span:
-			return fmt.Errorf("%sends after the day of %g s", at, f.Seconds)
-		case k.share && !(x.Share.Lo > 0 && x.Share.Hi <= 1):
-			return fmt.Errorf("%sshare: %v is not within 0 to 1", at, x.Share)
-		case k.size && !(x.Size.Lo > 0):
-			return fmt.Errorf("%ssize: %v is not positive", at, x.Size)
-		case k.span && !(x.ForS.Lo > 0):
-			return fmt.Errorf("%sfor_s: %v is not positive", at, x.ForS)
-		case x.Zone != nil && (*x.Zone < 0 || *x.Zone >= int(f.Fleet.Zones.Lo)):
-			return fmt.Errorf("%szone: there is no zone %d", at, *x.Zone)
-		}
-	}
-	if (f.On.Limits || f.On.Verdicts) && !f.On.Peers {
-		return errors.New("on.limits, on.verdicts: on.peers has to be true too")
-	}
-	for _, c := range f.Class {
-		if !(c.AimMS > 0 && c.DeadlineMS >= c.AimMS) {
-			return fmt.Errorf("class %s: aim_ms and deadline_ms: %g and %g do not fit", c.Name, c.AimMS, c.DeadlineMS)
-		}
-		if c.Effect != "free" && c.Effect != "guarded" && c.Effect != "single_shot" {
-			return fmt.Errorf("class %s: effect: unknown value %q", c.Name, c.Effect)
-		}
-	}
-	return nil
-}
-
-// one is a range of a single figure.
-func one(v float64) Range { return Range{v, v} }
-
-// defaults is the deployment that a file departs from: the site of the operators, its figures as
-// their site file gives them, with work and times scaled as the file says.
-func defaults() *File {
-	return &File{
-		Fleet: Fleet{Regions: one(1), Zones: one(3), Nodes: one(10), Servers: one(10), Cores: 1, MemoryMB: 96, Sockets: 640,
-			KnownLateS: 2},
-		Server: Server{Cores: 3, Speed: Range{0.85, 1.1}, SpeedCV: Range{0.054, 0.24}, SlotsPerCore: Range{2, 6},
-			QueuePerCore: Range{12, 34}, Thrash: Range{0.078, 0.26}, ThrashAt: Range{3.8, 7.9}, ColdFrom: Range{0.17, 0.47},
-			ColdS: Range{9.3, 16}, WarmBy: "requests", HandshakeMS: Range{0.4, 1.9}, Connections: 1800, TableTax: Range{0.1, 0.3}, IdleS: 30,
-			ErrorRate: Range{0, 0.001}, CellSize: 4},
-		Net: Net{SameMS: Range{0.1, 0.26}, CrossMS: Range{1.4, 2.6}, FarMS: Range{15, 30}, ClientMS: Range{0.46, 1.1}},
-		Clients: Clients{Retries: Range{0, 1.5}, TryShare: Range{0.5, 1}, BackoffMS: Range{60, 480}, Honour: Range{0.33, 0.95},
-			NoticeS: Range{1.3, 3.9}, MaxRetryAfter: 1000},
-		Load: Load{Inside: Range{0.42, 0.55}, CalmUse: Range{0.17, 0.5}, Full: Range{0.085, 0.24}, Heavy: Range{0.068, 0.14},
-			HeavyX: Range{2.3, 4.9}, Spiky: Range{0.11, 0.21}, SpikeX: Range{2.6, 6.4}, SpikeS: Range{0.76, 4.9},
-			SpikeEveryS: Range{13, 25}, Skew: Range{0.45, 1.2}, ShiftS: Range{8.1, 25}, Elsewhere: Range{0.2, 0.65},
-			GuessCV: Range{0.45, 0.67}, MostUnits: 8},
-		Discovery: Discovery{NoticeS: Range{0.64, 4.8}, AddS: Range{0.23, 1.4}, NodeMS: Range{21, 370}},
-		Counter:   Counter{PerS: Range{620, 840}, BackS: Range{3.3, 5.9}},
-		Rules: Rules{DrainGraceMS: 2000, FallMultiple: 2, FallMS: 1500, SendCap: 5, MeterS: 1, MeterLateMS: Range{430, 1300},
-			Probes: true, SecondCopies: true, RetryAfter: true},
-	}
-}
-
 func span(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
-func spanMS(ms float64) time.Duration    { return time.Duration(ms * float64(time.Millisecond)) }
+
+func spanMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
