Split shared limits, peers, zones and the store's tests into files of one subject each

A pure move: the lines of the four packages, sorted and without imports, are the same before and after, but for three headings within exchange.go that the file names replace.

--- a/fleet/share/exchange_test.go
+++ b/fleet/share/exchange_test.go
@@ -8,110 +8,6 @@
 	"pgregory.net/rapid"
 )
 
-const (
-	plan     = 1
-	customer = 42
-)
-
-var quota = Quota{Rate: 5, Depth: 40}
-
-// fataler is a test or a property.
-type fataler interface{ Fatal(...any) }
-
-// fleet is some exchanges, each with a clock of its own, and the messages between them.
-type fleet struct {
-	now   time.Duration
-	x     []*Exchange
-	skew  []time.Duration
-	set   Set
-	alive []bool
-	air   []Out // in flight
-}
-
-func newFleet(n int) *fleet {
-	f := &fleet{set: Set{0, n}}
-	for i := range n {
-		f.skew = append(f.skew, time.Duration(i)*time.Hour)
-		f.alive = append(f.alive, true)
-		f.x = append(f.x, NewExchange(Config{Self: i, Group: n, Life: uint64(i + 1), Quotas: map[uint32]Quota{plan: quota}, Customers: 1000}, f.skew[i]))
-	}
-	f.tellLive(func(a, b int) bool { return true })
-	return f
-}
-
-// tellLive tells each node which others it sees.
-func (f *fleet) tellLive(sees func(a, b int) bool) {
-	for i, x := range f.x {
-		var others []Node
-		for j := range f.x {
-			if i != j && f.alive[j] && sees(i, j) {
-				others = append(others, Node{j, uint64(j + 1)})
-			}
-		}
-		x.Live(f.at(i), others)
-	}
-}
-
-func (f *fleet) at(i int) time.Duration { return f.now + f.skew[i] }
-
-func (f *fleet) send(i int, units float64) { f.x[i].Sent(f.at(i), customer, plan, f.set, units, false) }
-
-func (f *fleet) level(i int) (Known, bool) { return f.x[i].Level(f.at(i), customer, plan, f.set) }
-
-func (f *fleet) owner() int {
-	o, _ := Owner(customer, f.set, len(f.x), func(i int) bool { return f.alive[i] })
-	return o
-}
-
-// flush lets the nodes send what is due.
-func (f *fleet) flush() {
-	for i, x := range f.x {
-		if when, ok := x.Wake(); ok && when <= f.at(i) && f.alive[i] {
-			f.air = append(f.air, x.Flush(f.at(i))...)
-		}
-	}
-}
-
-// hear delivers a message, as a copy, by way of its bytes.
-func (f *fleet) hear(t fataler, o Out) {
-	raw, err := o.Message.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	m, err := Decode(raw, len(f.x))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if f.alive[o.To] {
-		f.x[o.To].Hear(f.at(o.To), m)
-	}
-}
-
-// run lets time pass; carry gives how often each message arrives.
-func (f *fleet) run(t fataler, d time.Duration, carry func(from, to int) int) {
-	const step = 10 * time.Millisecond
-	for end := f.now + d; f.now < end; f.now += step {
-		f.flush()
-		air := f.air
-		f.air = nil
-		for _, o := range air {
-			for range carry(o.Message.From, o.To) {
-				f.hear(t, o)
-			}
-		}
-	}
-}
-
-// taken is what the owner has counted.
-func (f *fleet) taken(owner int) float64 {
-	if e := f.x[owner].owned[customer]; e != nil {
-		return e.store.taken
-	}
-	return 0
-}
-
-func all(int, int) int { return 1 }
-
 // Each use is counted once, whatever is lost, doubled or comes late, and in the end by one node.
 func TestUsesAreCountedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -251,13 +147,6 @@
 	})
 }
 
-func seq(n int) (s []int) {
-	for i := range n {
-		s = append(s, i)
-	}
-	return s
-}
-
 // A store goes with its owner when that leaves, and its successor knows what it held.
 func TestStoreGoesToTheNextOwner(t *testing.T) {
 	f := newFleet(5)
@@ -286,83 +175,6 @@
 	}
 }
 
-// Every interleaving of three nodes' messages to a depth, each lost, doubled or taken out of turn,
-// with a pause between: nothing is counted twice, and a double count that is planted is found.
-func TestEveryInterleaving(t *testing.T) {
-	for _, planted := range []bool{false, true} {
-		states, twice := explore(t, 8, planted)
-		if planted != twice {
-			t.Errorf("planted %v: counted twice %v in %d states", planted, twice, states)
-		}
-		t.Logf("planted %v: %d states", planted, states)
-	}
-}
-
-// explore plays all sequences of choices, each anew from the start.
-func explore(t *testing.T, depth int, planted bool) (states int, twice bool) {
-	const sent = 1 + 2 + 4
-	var choices []int
-	for {
-		f := newFleet(3)
-		owner := f.owner()
-		f.send((owner+1)%3, 1)
-		f.send((owner+2)%3, 2)
-		f.run(t, batch, all) // both are on their way, or there
-		f.send((owner+1)%3, 4)
-		width := make([]int, depth)
-		for d := range depth {
-			// Deliver, double or lose the first or the last message, or let time pass.
-			options := 1
-			if len(f.air) > 0 {
-				options += 3
-			}
-			if len(f.air) > 1 {
-				options += 3
-			}
-			if width[d] = options; d >= len(choices) {
-				choices = append(choices, 0)
-			}
-			choose(t, f, choices[d], planted)
-			states++
-			if f.taken(owner) > sent {
-				return states, true
-			}
-		}
-		// The next sequence: the last choice that has another.
-		d := depth - 1
-		for ; d >= 0 && choices[d]+1 >= width[d]; d-- {
-		}
-		if d < 0 {
-			return states, false
-		}
-		choices = append(choices[:d:d], choices[d]+1)
-	}
-}
-
-func choose(t *testing.T, f *fleet, choice int, planted bool) {
-	if choice == 0 {
-		f.now += resend / 2
-		f.flush()
-		return
-	}
-	i := 0
-	if choice > 3 {
-		i, choice = len(f.air)-1, choice-3
-	}
-	o := f.air[i]
-	if choice != 2 { // a doubled one is still on its way
-		f.air = append(f.air[:i:i], f.air[i+1:]...)
-	}
-	if choice != 3 {
-		if planted {
-			for _, l := range f.x[o.To].links {
-				l.counted = 0 // forgets what it has counted
-			}
-		}
-		f.hear(t, o)
-	}
-}
-
 // The bounds that are broken on purpose: customers beyond the most are forgotten, a message never
 // outgrows a datagram, and a fleet at rest says nothing.
 func TestBoundsHold(t *testing.T) {
--- a/fleet/zone/zone.go
+++ b/fleet/zone/zone.go
@@ -94,14 +94,6 @@
 	slow    float64 // its answers' time over the others', smoothed
 }
 
-// counts is the evidence of one bin.
-type counts struct {
-	at        int64 // the bin's number
-	good, bad float64
-	seconds   float64 // of good answers
-	servers   map[uint64][2]float64
-}
-
 // Policy decides for one node. It is not safe for concurrent use.
 type Policy struct {
 	own   string
@@ -121,34 +113,6 @@
 	return p
 }
 
-// Saw takes how attempts at a server of a zone ended: n of them, good or not, in the mean time of
-// good ones in seconds. Others' word counts like one's own where it comes with its own age: at is
-// when they ended.
-func (p *Policy) Saw(at time.Duration, zone string, server uint64, n float64, good bool, seconds float64) {
-	z := p.of[zone]
-	if z == nil || !(n > 0) {
-		return
-	}
-	b := int64(at / bin)
-	c := &z.seen[((b%bins)+bins)%bins]
-	if c.at > b {
-		return // older than what is counted there
-	}
-	if c.at != b || c.servers == nil {
-		*c = counts{at: b, servers: make(map[uint64][2]float64)}
-	}
-	s := c.servers[server]
-	if good {
-		c.good += n
-		c.seconds += n * seconds
-		s[0] += n
-	} else {
-		c.bad += n
-		s[1] += n
-	}
-	c.servers[server] = s
-}
-
 // Tell takes the operators' order on a zone; false is a zone that is not known.
 func (p *Policy) Tell(now time.Duration, zone string, o Order) bool {
 	z := p.of[zone]
@@ -168,54 +132,6 @@
 	return true
 }
 
-// evidence is what the last second says of a zone.
-type evidence struct {
-	n, failing float64 // attempts, and the part that failed
-	low, high  float64 // bounds of that part
-	servers    float64
-	failed     float64 // part of the servers seen that fail mostly
-	answer     float64 // s, mean; 0 is none
-}
-
-func (z *Zone) evidence(now time.Duration) (e evidence) {
-	var good, bad, seconds float64
-	by := map[uint64][2]float64{}
-	for i := range z.seen {
-		c := &z.seen[i]
-		if c.servers == nil || c.at <= int64(now/bin)-bins {
-			continue
-		}
-		good, bad, seconds = good+c.good, bad+c.bad, seconds+c.seconds
-		for s, n := range c.servers {
-			by[s] = [2]float64{by[s][0] + n[0], by[s][1] + n[1]}
-		}
-	}
-	for _, n := range by {
-		if e.servers++; n[1] > n[0] {
-			e.failed++
-		}
-	}
-	e.failed /= math.Max(1, e.servers)
-	if e.n = good + bad; e.n == 0 {
-		e.high = 1
-		return e
-	}
-	e.failing = bad / e.n
-	e.low, e.high = bounds(e.failing, e.n)
-	if good > 0 {
-		e.answer = seconds / good
-	}
-	return e
-}
-
-// bounds are Wilson's of a part seen in n.
-func bounds(part, n float64) (low, high float64) {
-	z2 := confident * confident
-	mid := (part + z2/(2*n)) / (1 + z2/n)
-	half := confident / (1 + z2/n) * math.Sqrt(part*(1-part)/n+z2/(4*n*n))
-	return math.Max(0, mid-half), math.Min(1, mid+half)
-}
-
 // turn changes a zone's state.
 func (z *Zone) turn(now time.Duration, s State, part float64, why string) {
 	if z.state != s || why != z.why {
@@ -246,36 +162,6 @@
 	}
 }
 
-// rest is what the other zones that are not left say together; n is 0 where there is none.
-func (p *Policy) rest(seen []evidence, but int) (e evidence) {
-	var bad, seconds, answers float64
-	for i, z := range p.zones {
-		if i == but || z.state == Left || seen[i].n == 0 {
-			continue
-		}
-		e.n += seen[i].n
-		bad += seen[i].n * seen[i].failing
-		seconds += seen[i].answer * seen[i].n * (1 - seen[i].failing)
-		answers += seen[i].n * (1 - seen[i].failing)
-		e.servers += seen[i].servers
-	}
-	e.high = 1
-	if e.n > 0 {
-		e.failing = bad / e.n
-		e.low, e.high = bounds(e.failing, e.n)
-	}
-	if answers > 0 {
-		e.answer = seconds / answers
-	}
-	return e
-}
-
-// elsewhere tells whether the others do so much better that leaving a zone helps. Where nothing is
-// seen of them, or they fail as well, what is seen speaks of this node, or of all.
-func elsewhere(e, rest evidence) bool {
-	return rest.n >= enough && e.failing-rest.failing >= better && rest.high < e.low
-}
-
 // judge decides on a zone that has all of its traffic, or nearly.
 func (p *Policy) judge(now time.Duration, z *Zone, e, rest evidence) {
 	if z.state == Healthy && now >= z.since+flapAge {
@@ -347,63 +233,3 @@
 		z.since = now
 	}
 }
-
-// Parts gives the part of its usual traffic that each zone may have, by name. Where all are left, or
-// what is left of the others could not bear what would come, all have some: no zone is emptied onto
-// ones that fall under it. Asked is what the node's fleet asks in all, in requests a second, where
-// capacities are known.
-func (p *Policy) Parts(asked float64) map[string]float64 {
-	parts := make(map[string]float64, len(p.zones))
-	sum, bears, known := 0.0, 0.0, true
-	for _, z := range p.zones {
-		parts[z.Name] = z.part
-		sum += z.part
-		bears += z.part * spareMost * z.Capacity
-		known = known && z.Capacity > 0
-	}
-	if sum == 0 { // nobody is better: over all, as if nothing were known
-		for _, z := range p.zones {
-			parts[z.Name] = 1
-		}
-		return parts
-	}
-	if lack := asked - bears; known && lack > 0 {
-		p.spill(parts, lack)
-	}
-	return parts
-}
-
-// spill gives zones that are left in part, or wholly, what the others can't bear, the nearest first;
-// those that operators told to leave last.
-func (p *Policy) spill(parts map[string]float64, lack float64) {
-	for _, ordered := range []bool{false, true} {
-		for _, z := range p.zones {
-			if (z.order == Leave) != ordered || lack <= 0 {
-				continue
-			}
-			room := (1 - parts[z.Name]) * spareMost * z.Capacity
-			takes := math.Min(room, lack)
-			parts[z.Name] += takes / (spareMost * z.Capacity)
-			lack -= takes
-		}
-	}
-}
-
-// View is what operators see of a zone.
-type View struct {
-	Zone  string
-	State State
-	Part  float64
-	Order Order
-	Why   string
-	Since time.Duration
-	Hold  time.Duration // for which it is left, or would be
-}
-
-// Views gives what operators see, the nearest first.
-func (p *Policy) Views() (views []View) {
-	for _, z := range p.zones {
-		views = append(views, View{z.Name, z.state, z.part, z.order, z.why, z.since, z.hold})
-	}
-	return views
-}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,10 +6,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -19,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 )
 
@@ -54,27 +51,6 @@
 	Changed      func()            // is told that Live has changed, and does not wait; nil is nobody
 }
 
-// Member is a node as others see it.
-type Member struct {
-	Name, Address string
-	Index         int // in the group
-	Zone, Region  string
-	Program       string
-	State         int    // version of what it tells
-	Incarnation   uint64 // of its process: ms of Unix time at its start
-}
-
-// meta is what a member says of itself, at most 512 bytes. Fields that are not known are skipped.
-type meta struct {
-	Zone        string `cbor:"1,keyasint,omitempty"`
-	Region      string `cbor:"2,keyasint,omitempty"`
-	Program     string `cbor:"3,keyasint,omitempty"`
-	State       int    `cbor:"4,keyasint"`
-	Incarnation uint64 `cbor:"5,keyasint"`
-	Leaving     bool   `cbor:"6,keyasint,omitempty"`
-	Index       int    `cbor:"7,keyasint"`
-}
-
 // Counts are figures for the operators. All are safe to read at any time.
 type Counts struct {
 	Live                            atomic.Int64 // other members that are live
@@ -252,176 +228,3 @@
 	line, _, _ := strings.Cut(err.Error(), "\n")
 	return line
 }
-
-// member reads what a node says of itself; what can't be read is counted and left empty.
-func (p *Peers) member(n *memberlist.Node) (m Member, leaving bool) {
-	m = Member{Name: n.Name, Address: n.Address()}
-	var said meta
-	if err := cbor.Unmarshal(n.Meta, &said); err != nil {
-		p.Counts.Spoilt.Add(1)
-		p.log.Warn("peers: a member's word is spoilt", "peer", n.Name, "err", err)
-		return m, false
-	}
-	m.Zone, m.Region, m.Program, m.State, m.Incarnation = said.Zone, said.Region, said.Program, said.State, said.Incarnation
-	m.Index = said.Index
-	return m, said.Leaving
-}
-
-// The library calls what follows; none of it waits.
-
-// NodeMeta is what this node says of itself; nothing where that is too long.
-func (p *Peers) NodeMeta(most int) []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	raw, err := cbor.Marshal(p.said)
-	if err != nil || len(raw) > most {
-		return nil
-	}
-	return raw
-}
-
-// NotifyMsg takes a message of another member; the bytes are the library's after it.
-func (p *Peers) NotifyMsg(raw []byte) {
-	if p.cfg.Receive != nil {
-		p.cfg.Receive(raw)
-	}
-}
-
-// GetBroadcasts has nothing to add to gossip.
-func (p *Peers) GetBroadcasts(int, int) [][]byte { return nil }
-
-// LocalState has nothing to add to an exchange of states.
-func (p *Peers) LocalState(bool) []byte { return nil }
-
-// MergeRemoteState takes nothing from it.
-func (p *Peers) MergeRemoteState([]byte, bool) {}
-
-// NotifyAlive refuses members beyond what is remembered.
-func (p *Peers) NotifyAlive(n *memberlist.Node) error {
-	p.mu.Lock()
-	_, known := p.live[n.Name]
-	full := len(p.live) >= membersMost
-	p.mu.Unlock()
-	if full && !known && n.Name != p.cfg.Name {
-		p.Counts.Refused.Add(1)
-		return fmt.Errorf("%d members are the most", membersMost)
-	}
-	return nil
-}
-
-// NotifyJoin takes a member in. One that comes back under its old name supersedes its dead self.
-func (p *Peers) NotifyJoin(n *memberlist.Node) { p.put(n, "peers: joined", &p.Counts.Joins) }
-
-// NotifyUpdate takes what a member says anew.
-func (p *Peers) NotifyUpdate(n *memberlist.Node) { p.put(n, "peers: changed", nil) }
-
-func (p *Peers) put(n *memberlist.Node, what string, count *atomic.Int64) {
-	if n.Name == p.cfg.Name {
-		return
-	}
-	m, leaving := p.member(n)
-	if leaving {
-		p.remove(n.Name, "left", &p.Counts.Leaves)
-		return
-	}
-	p.mu.Lock()
-	p.live[n.Name] = m
-	if to := *n; m.State >= StateVersion {
-		p.nodes[m.Index] = &to
-	}
-	p.epoch++
-	p.Counts.Live.Store(int64(len(p.live)))
-	p.mu.Unlock()
-	p.changed()
-	if count != nil {
-		count.Add(1)
-	}
-	p.log.Info(what, "peer", m.Name, "zone", m.Zone, "program", m.Program, "incarnation", m.Incarnation)
-}
-
-// NotifyLeave takes a member out that is dead; one that has left is out already.
-func (p *Peers) NotifyLeave(n *memberlist.Node) {
-	p.mu.Lock()
-	maps.DeleteFunc(p.nodes, func(_ int, o *memberlist.Node) bool { return o.Name == n.Name })
-	p.mu.Unlock()
-	p.remove(n.Name, "dead", &p.Counts.Deaths)
-}
-
-func (p *Peers) changed() {
-	if p.cfg.Changed != nil {
-		p.cfg.Changed()
-	}
-}
-
-func (p *Peers) remove(name, how string, count *atomic.Int64) {
-	p.mu.Lock()
-	_, known := p.live[name]
-	if known {
-		delete(p.live, name)
-		p.epoch++
-		p.Counts.Live.Store(int64(len(p.live)))
-	}
-	p.mu.Unlock()
-	if known {
-		p.changed()
-		count.Add(1)
-		p.log.Info("peers: gone", "peer", name, "how", how)
-	}
-}
-
-// NotifyConflict is told of a name that two nodes use; the first stays.
-func (p *Peers) NotifyConflict(existing, other *memberlist.Node) {
-	p.Counts.Conflicts.Add(1)
-	p.log.Error("peers: a name is used twice", "peer", existing.Name, "first", existing.Address(), "other", other.Address())
-}
-
-// transport reaches others by the addresses that this node has for them, and counts.
-type transport struct {
-	*memberlist.NetTransport
-	via    map[string]string
-	counts *Counts
-}
-
-func (t *transport) to(a memberlist.Address) memberlist.Address {
-	if v, ok := t.via[a.Addr]; ok {
-		a.Addr = v
-	}
-	return a
-}
-
-// WriteToAddress sends a packet.
-func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	t.counts.SentPackets.Add(1)
-	t.counts.SentBytes.Add(int64(len(b)))
-	return t.NetTransport.WriteToAddress(b, t.to(a))
-}
-
-// DialAddressTimeout opens a stream.
-func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	t.counts.Streams.Add(1)
-	return t.NetTransport.DialAddressTimeout(t.to(a), timeout)
-}
-
-// lines takes the library's log. Its word of packets it can't read is counted.
-type lines struct {
-	to     *slog.Logger
-	counts *Counts
-}
-
-var _ io.Writer = (*lines)(nil)
-
-func (l *lines) Write(b []byte) (int, error) {
-	level, text := slog.LevelDebug, strings.TrimSpace(string(b))
-	for prefix, x := range map[string]slog.Level{"[ERR] ": slog.LevelError, "[WARN] ": slog.LevelWarn, "[INFO] ": slog.LevelInfo} {
-		if rest, ok := strings.CutPrefix(text, prefix); ok {
-			level, text = x, rest
-		}
-	}
-	// What others send that is nothing, or another fleet's, is theirs, and may come often.
-	if level >= slog.LevelWarn && (strings.Contains(text, "label") || strings.Contains(text, "ecode") || strings.Contains(text, "not supported") || strings.Contains(text, "CRC")) {
-		l.counts.Spoilt.Add(1)
-		level = slog.LevelDebug
-	}
-	l.to.Log(context.Background(), level, text)
-	return len(b), nil
-}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -4,17 +4,12 @@
 	"errors"
 	"flag"
 	"fmt"
-	"io/fs"
-	"maps"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"reflect"
 	"slices"
 	"testing"
 	"time"
-
-	"pgregory.net/rapid"
 )
 
 // The same draws in each run, so that the verdict is the same; -rapid.seed gives others.
@@ -25,160 +20,6 @@
 		Records: []Record{{Plan: "basic", Customer: fmt.Sprint("c", gen), Spread: 3, Level: float64(gen), At: 5, Full: 9}}}
 }
 
-// op is one step of a file layer that records.
-type op struct {
-	kind     string // create, write, sync, rename, remove, syncdir
-	name, to string
-	file     int // the file's number, in the order of creation
-	data     []byte
-}
-
-// recorder is a file layer in memory that remembers each step. Fail, where set, lets a step fail.
-type recorder struct {
-	ops     []op
-	names   map[string]int
-	files   [][]byte
-	fail    func(kind string) bool
-	skipped string // a step that is left out though it is said to be done: a planted bug
-}
-
-func newRecorder() *recorder { return &recorder{names: map[string]int{}} }
-
-func (r *recorder) do(o op) error {
-	if r.fail != nil && r.fail(o.kind) {
-		return errors.New("the disk refuses")
-	}
-	if o.kind == r.skipped {
-		return nil
-	}
-	r.ops = append(r.ops, o)
-	switch o.kind {
-	case "create":
-		if o.file == len(r.files) {
-			r.files = append(r.files, nil)
-		}
-		r.files[o.file], r.names[o.name] = nil, o.file
-	case "write":
-		r.files[o.file] = append(r.files[o.file], o.data...)
-	case "rename":
-		r.names[o.to] = r.names[o.name]
-		delete(r.names, o.name)
-	case "remove":
-		delete(r.names, o.name)
-	}
-	return nil
-}
-
-type recorded struct {
-	r    *recorder
-	file int
-}
-
-func (r *recorder) Create(name string) (File, error) {
-	f := &recorded{r, len(r.files)}
-	if i, ok := r.names[name]; ok { // it is emptied, and stays the same file
-		f.file = i
-	}
-	return f, r.do(op{kind: "create", name: name, file: f.file})
-}
-func (f *recorded) Write(b []byte) (int, error) {
-	return len(b), f.r.do(op{kind: "write", file: f.file, data: slices.Clone(b)})
-}
-func (f *recorded) Sync() error                  { return f.r.do(op{kind: "sync", file: f.file}) }
-func (f *recorded) Close() error                 { return nil }
-func (r *recorder) Rename(from, to string) error { return r.do(op{kind: "rename", name: from, to: to}) }
-func (r *recorder) Remove(name string) error     { return r.do(op{kind: "remove", name: name}) }
-func (r *recorder) SyncDir(string) error         { return r.do(op{kind: "syncdir"}) }
-func (r *recorder) Names(string, int) ([]string, error) {
-	var names []string
-	for n := range r.names {
-		names = append(names, filepath.Base(n))
-	}
-	return names, nil
-}
-func (r *recorder) Read(name string, _ int64) ([]byte, error) {
-	i, ok := r.names[name]
-	if !ok {
-		return nil, fs.ErrNotExist
-	}
-	return r.files[i], nil
-}
-
-// crashes calls each with every disk that a crash after some steps may leave: of the changes of
-// names since the folder was synced any subset in their order, of each file what was synced and
-// of the rest all, nothing, a torn part or rubbish.
-func crashes(ops []op, each func(*recorder)) {
-	type file struct{ all, synced int }
-	var files [][]byte
-	var sizes []file
-	names, pending := map[string]int{}, []op(nil)
-	for _, o := range ops {
-		switch o.kind {
-		case "create":
-			if o.file == len(files) {
-				files, sizes = append(files, nil), append(sizes, file{})
-			}
-			files[o.file], sizes[o.file] = nil, file{}
-			pending = append(pending, o)
-		case "write":
-			files[o.file] = append(files[o.file], o.data...)
-			sizes[o.file].all = len(files[o.file])
-		case "sync":
-			sizes[o.file].synced = sizes[o.file].all
-		case "rename", "remove":
-			pending = append(pending, o)
-		case "syncdir":
-			for _, p := range pending {
-				apply(names, p)
-			}
-			pending = nil
-		}
-	}
-	for subset := range 1 << len(pending) {
-		left := maps.Clone(names)
-		for i, p := range pending {
-			if subset&(1<<i) != 0 {
-				apply(left, p)
-			}
-		}
-		for _, how := range []string{"all", "nothing", "torn", "rubbish"} {
-			r := &recorder{names: maps.Clone(left)}
-			for i, f := range files {
-				r.files = append(r.files, lose(f, sizes[i].synced, how))
-			}
-			each(r)
-		}
-	}
-}
-
-func apply(names map[string]int, o op) {
-	switch o.kind {
-	case "create":
-		names[o.name] = o.file
-	case "rename":
-		if f, ok := names[o.name]; ok {
-			names[o.to] = f
-			delete(names, o.name)
-		}
-	case "remove":
-		delete(names, o.name)
-	}
-}
-
-// lose gives what a disk may hold of a file beyond what was synced.
-func lose(f []byte, synced int, how string) []byte {
-	rest := slices.Clone(f[synced:])
-	switch how {
-	case "nothing":
-		rest = nil
-	case "torn":
-		rest = rest[:len(rest)/2]
-	case "rubbish":
-		clear(rest)
-	}
-	return append(slices.Clone(f[:synced]), rest...)
-}
-
 // outcome plays a run of writes, and looks at every disk that a crash at each point may leave. It
 // gives the first that is wrong: a state that is none of those written, or older than one whose write
 // had ended.
@@ -330,67 +171,6 @@
 	}
 }
 
-// No grant is forgotten that was made under a mark on the disk: what a crash at any moment leaves
-// gives no more than the store held, unless the last grant was counted as covered by none. Marks
-// that count before they are on the disk are found.
-func TestMarksCoverGrants(t *testing.T) {
-	run := func(t *rapid.T, planted bool) (forgot string) {
-		m, l := NewMarks(10), Level{Rate: rapid.Float64Range(0.1, 20).Draw(t, "rate"), Depth: 40, Spread: 1, Units: 40}
-		k, now, wall := Key{"p", "c"}, time.Hour, time.UnixMilli(1e12)
-		var disk, writing []Record
-		covered := false
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			pause := time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond
-			now, wall = now+pause, wall.Add(pause)
-			l.Units = min(l.Depth, l.Units+l.Rate*pause.Seconds())
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
-			case 0, 1:
-				l.Units -= float64(rapid.IntRange(1, 6).Draw(t, "units"))
-				before := m.Uncovered
-				m.Grant(k, l, now)
-				covered = m.Uncovered == before
-			case 2:
-				if b := m.Batch(now, wall); b != nil {
-					writing = b
-					if planted {
-						m.Done(true)
-					}
-				}
-			case 3:
-				if writing != nil {
-					if ok := rapid.Bool().Draw(t, "written"); ok {
-						disk = writing
-						m.Done(true)
-					} else {
-						m.Done(false)
-					}
-					writing = nil
-				}
-			}
-			if covered && len(disk) == 0 {
-				return "a grant is covered by nothing on the disk"
-			}
-			if covered {
-				since := wall.Sub(time.UnixMilli(disk[0].At)).Seconds()
-				if left := min(l.Depth, disk[0].Level+l.Rate*since); left > l.Units+0.1 { // marks are told in ms
-					return fmt.Sprintf("recovery gives %g, the store holds %g", left, l.Units)
-				}
-			}
-		}
-		return ""
-	}
-	rapid.Check(t, func(t *rapid.T) {
-		if forgot := run(t, false); forgot != "" {
-			t.Fatal(forgot)
-		}
-	})
-	found := false
-	rapid.Check(t, func(t *rapid.T) { found = found || run(t, true) != "" })
-	if !found {
-		t.Error("marks that count before they are on the disk are not found")
-	}
-}
-
 // A disk that stands still holds up nobody: changes are refused until it goes on, and then written.
 func TestDiskThatStandsStill(t *testing.T) {
 	still := make(chan struct{})
