Split the node's large files by subject

A reader who looks for how connections to servers are kept had to find it among answers, requests and headers: upstream.go had 676 lines, front.go 553, loop.go 491, node_test.go 630, long_test.go 424. A pure move: lines differ in package, import and const heads only.

--- /dev/null
+++ b/cmd/lockflow/replaced_test.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// clientSocket is a listening socket as the platform holds it for the processes of a node.
+func clientSocket(t *testing.T) *os.File {
+	t.Helper()
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tcp.Close()
+	socket, err := tcp.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { socket.Close() })
+	return socket
+}
+
+// Two processes share the clients' socket: at SIGTERM the old one answers what it took, lets its
+// kept connections go on an answer and leaves early; the socket stays good for the other.
+func TestReplaced(t *testing.T) {
+	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "done") }))
+	t.Cleanup(app.Close)
+	socket := clientSocket(t)
+	bin, list, dir := build(t), discovery(t, "s-1", app).Listener.Addr().String(), "TMPDIR="+t.TempDir()
+	old := startWith(t, bin, testConfig, list, socket, dir)
+	c, err := net.Dial("tcp", old.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Minute))
+	in := bufio.NewReader(c)
+	ask := func(id string) *http.Response {
+		t.Helper()
+		fmt.Fprintf(c, "GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: %s\r\n"+
+			"X-Tariff: enterprise\r\nX-Time-Left: 7000m\r\n\r\n", id)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+	if resp := ask("id-1"); resp.StatusCode != 200 || resp.Close {
+		t.Fatalf("%s, closes %v", resp.Status, resp.Close)
+	}
+	started := time.Now()
+	granted := old.granted("before-", 20)
+	fresh := startWith(t, bin, testConfig, list, socket, dir)
+	if !slices.ContainsFunc(fresh.seen, func(l string) bool { return strings.Contains(l, "taken over") }) {
+		t.Errorf("nothing was taken over: %q", fresh.seen)
+	}
+	begun := time.Now()
+	old.signal(syscall.SIGTERM)
+	old.until("draining")
+	if resp := ask("id-2"); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("%s, closes %v", resp.Status, resp.Close)
+	}
+	old.until("drained")
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("an empty process left after %v", took)
+	}
+	if err := old.Wait(); err != nil {
+		t.Error(err)
+	}
+	if a := <-fresh.ask("id-3"); !strings.HasPrefix(a, "200 done") {
+		t.Error(a)
+	}
+	// A burst of 8 units and half a unit a second, over both processes.
+	granted += fresh.granted("after-", 20)
+	if most := 8 + int(time.Since(started).Seconds()/2) + 1; granted < 1 || granted > most {
+		t.Errorf("%d units were granted, at most %d are due", granted, most)
+	}
+	fresh.signal(syscall.SIGTERM)
+	fresh.until("drained")
+	if err := fresh.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A handover that is spoilt, or never comes, leaves the process as from nothing.
+func TestSpoiltHandover(t *testing.T) {
+	bin := build(t)
+	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "done") }))
+	t.Cleanup(app.Close)
+	list := discovery(t, "s-1", app).Listener.Addr().String()
+	for name, says := range map[string]string{"garbage": "\x00\x00\x00\x04\x01\x02\x03\x04what", "silent": "", "cut off": "\x00\x00\x00\x04\x01",
+		"huge": "\xff\xff\xff\xff\x01\x02\x03\x04"} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			before, err := net.Listen("unix", filepath.Join(dir, "handover.sock"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer before.Close()
+			go func() {
+				if c, err := before.Accept(); err == nil {
+					io.WriteString(c, says)
+					if says != "" {
+						c.Close()
+					}
+				}
+			}()
+			socket := clientSocket(t)
+			p := startWith(t, bin, testConfig, list, socket, "TMPDIR="+dir)
+			if !slices.ContainsFunc(p.seen, func(l string) bool { return strings.Contains(l, "nothing is taken over") }) {
+				t.Errorf("%q", p.seen)
+			}
+			if a := <-p.ask("id-1"); !strings.HasPrefix(a, "200 done") {
+				t.Error(a)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/attempts.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"martennotch/control"
+)
+
+func (l *loop) send(a control.Send) {
+	x := l.exchanges[a.ID]
+	if x == nil {
+		l.pending = append(l.pending, control.Response{ID: a.ID, Server: a.Server, Reason: control.Moot, Done: true})
+		return
+	}
+	n, to := x.sends, l.pools[a.Server]
+	x.sends++
+	var limit *time.Timer
+	ctx, stop := context.WithCancelCause(l.life)
+	if until := x.deadline; !until.IsZero() || a.Within > 0 {
+		left := time.Until(until)
+		if until.IsZero() || a.Within > 0 && a.Within < left {
+			left = a.Within
+		}
+		if left <= 0 {
+			stop(context.DeadlineExceeded)
+		} else {
+			limit = time.AfterFunc(left, func() { stop(context.DeadlineExceeded) })
+		}
+	}
+	x.stop, x.limit = append(x.stop, stop), append(x.limit, limit)
+	if l.watching != nil {
+		x.watched = append(x.watched, 0)
+	}
+	if to == nil || x.done || ctx.Err() != nil || x.spent() || l.sendCap > 0 && x.sends > l.sendCap {
+		l.over(x, n)
+		l.pending = append(l.pending, control.Response{ID: a.ID, N: n, Server: a.Server, Reason: control.Moot, Done: x.done, Spent: x.spent()})
+		return
+	}
+	x.out++
+	if l.watching != nil {
+		x.watched[n] = l.watching.began(a.Server)
+	}
+	if l.sharing != nil && n == 0 {
+		l.sharing.sent(&x.req, x.req.Units, false)
+	}
+	if l.keeping != nil && n == 0 {
+		l.keeping.granted(&x.req)
+	}
+	sent := time.Now()
+	t := &attempt{req: x.message(), first: x.body, rest: x.rest,
+		written: func() {
+			l.stats.calls.Add(1)
+			if x.rest != nil {
+				l.post(func() { l.handle(control.Written{ID: x.req.ID, N: n}) })
+			}
+		},
+		begin: func(o outcome, length int64) (to *io.PipeWriter) {
+			told := make(chan struct{})
+			if l.post(func() { to = l.started(x, n, a.Server, sent, o, length); close(told) }) {
+				select {
+				case <-told:
+				case <-l.ended:
+					return nil
+				}
+			}
+			return to
+		}}
+	go func() {
+		o := l.upstream.try(ctx, to, t)
+		if !l.post(func() { l.settle(x, n, a.Server, sent, o) }) {
+			o.held.shrink(0)
+		}
+	}()
+}
+
+// over ends what bounds an attempt.
+func (l *loop) over(x *exchange, n int) {
+	if x.limit[n] != nil {
+		x.limit[n].Stop()
+	}
+	x.stop[n](context.Canceled)
+}
+
+// started takes in that a good answer has begun that is not held: it is the final one. It gives
+// where the answer's rest goes, or nil where nobody waits for it.
+func (l *loop) started(x *exchange, n int, server uint32, sent time.Time, o outcome, length int64) *io.PipeWriter {
+	if x.done {
+		return nil
+	}
+	if x.limit[n] != nil {
+		x.limit[n].Stop() // its first bytes are in time; the rest takes what it takes
+	}
+	l.cost(x, o)
+	from, to := io.Pipe()
+	x.done = true
+	x.answer <- answer{status: http.StatusOK, header: o.header, body: o.body, stream: from, length: length}
+	l.handle(control.Started{ID: x.req.ID, N: n, Server: server, Delay: time.Since(sent), Cost: o.cost(l.unitsTop), Used: o.used()})
+	return to
+}
+
+// settle takes in how an attempt ended. The first good answer is the final one.
+func (l *loop) settle(x *exchange, n int, server uint32, sent time.Time, o outcome) {
+	l.over(x, n)
+	l.cost(x, o)
+	if l.watching != nil {
+		l.watching.ended(x.watched[n], o.reason)
+	}
+	x.out--
+	x.last = o.reason
+	r := control.Response{ID: x.req.ID, N: n, Server: server, Reason: o.reason, Delay: time.Since(sent), Spent: x.spent()}
+	if o.header != nil && !o.begun {
+		r.Used, r.Cost, r.Load = o.used(), o.cost(l.unitsTop), o.load()
+	}
+	if o.reason == control.OK && !x.done {
+		l.finish(x, answer{status: http.StatusOK, header: o.header, body: o.body, held: o.held})
+	} else {
+		o.held.shrink(0)
+	}
+	r.Done = x.done
+	l.release(x)
+	l.handle(r)
+}
+
+// cost tells those who share the customer's limit the true units of a request, once.
+func (l *loop) cost(x *exchange, o outcome) {
+	if l.sharing == nil || x.settled || o.header == nil {
+		return
+	}
+	if cost := o.cost(l.unitsTop); cost > 0 {
+		x.settled = true
+		l.sharing.sent(&x.req, cost-x.req.Units, true)
+	}
+}
--- /dev/null
+++ b/internal/node/clientconns_test.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Near the limit on descriptors an idle client connection goes for a new one.
+func TestClientsUnderTheLimit(t *testing.T) {
+	r := newRig(t)
+	r.list(target{UID: "s-1", Endpoint: "127.0.0.1:1", State: "up"})
+	r.wait("ready", r.node.front.ready.Load)
+	r.node.upstream.sockets.most.Store(3) // one client, a server, and the place for the next
+	for range 3 {
+		c, err := net.Dial("tcp", r.node.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n")
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+}
+
+// dial opens a raw connection to the node.
+func (r *rig) dial() net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.node.Addr())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// Whoever connects is soon answered or closed, whatever part of a request came.
+func TestSlowClients(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	a := newApp(t, served)
+	r.list(a.target("s-1", 0))
+	for name, text := range map[string]string{
+		"silent":      "",
+		"half a head": "POST /visit-update?account=00000000b4d65521 HTTP/1.1\r\n" + headerID + ": raw",
+		"half a body": "POST /visit-update?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\n" + goodHead + "Content-Length: 9\r\n\r\nhalf",
+	} {
+		c, begun := r.dial(), time.Now()
+		io.WriteString(c, text)
+		t.Run(name, func(t *testing.T) {
+			for _, s := range statuses(t, c) {
+				if s < 400 {
+					t.Errorf("answered %d", s)
+				}
+			}
+			// Owed within 3 s; a busy machine gets as much again.
+			if took := time.Since(begun); took > 2*3*time.Second {
+				t.Errorf("after %v", took)
+			}
+		})
+	}
+	if n := a.count(); n > 0 {
+		t.Errorf("sent on: %q", a.requests())
+	}
+}
+
+// A request may be held for longer than a client has to send it, and a hang-up is still seen.
+func TestHeldPastReadLimit(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	asked := make(chan struct{})
+	finish := make(chan struct{})
+	a := newApp(t, func(w http.ResponseWriter, q *http.Request) { asked <- struct{}{}; <-finish; served(w, q) })
+	r.list(a.target("s-1", 0))
+	answered := make(chan int, 1)
+	post := r.call(http.MethodPost, "/visit-update", "id-1")
+	post.Body, post.ContentLength = io.NopCloser(strings.NewReader("swap")), 4
+	go func() {
+		resp, _ := r.do(post)
+		answered <- resp.StatusCode
+	}()
+	next(t, asked)
+	leaves := r.dial()
+	io.WriteString(leaves, "GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\n"+goodHead+"\r\n")
+	next(t, asked)
+	time.Sleep(bodyStall + bodyStall/4) // the limit has to pass
+	r.wait("both held", func() bool {
+		x, y := r.node.loop.exchanges["id-1"], r.node.loop.exchanges["raw"]
+		return x != nil && !x.done && y != nil && !y.done
+	})
+	leaves.Close()
+	r.wait("the hang-up", func() bool { return r.node.loop.exchanges["raw"].done })
+	close(finish)
+	if s := next(t, answered); s != 200 {
+		t.Errorf("%d", s)
+	}
+}
+
+// Where all places are taken by clients that say nothing, one that asks is still served, and
+// the connections to app servers stay.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	r := newRig(t)
+	r.node.upstream.sockets.most.Store(socketsAhead + 20)
+	a := newApp(t, served)
+	r.list(a.target("s-1", 0))
+	r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+	before := pooled(r.node.upstream)
+	for range 60 {
+		r.dial()
+	}
+	for id := range 3 {
+		c := r.dial()
+		io.WriteString(c, strings.Replace("GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nConnection: close\r\n"+goodHead+"\r\n", "raw", "after-"+strconv.Itoa(id), 1))
+		if got := statuses(t, c); len(got) != 1 || got[0] != 200 {
+			t.Errorf("answered %v", got)
+		}
+	}
+	if after := pooled(r.node.upstream); len(before) != 1 || !slices.Equal(before, after) {
+		t.Error("the app server's connection was given up for silent clients")
+	}
+}
+
+// A connection is kept for a client's proper requests only.
+func TestOnlyProperRequestsKeepTheirConnection(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })
+	r.list(a.target("s-1", 0))
+	for _, k := range []struct {
+		path   string
+		status int
+		closes bool
+	}{
+		{"/roster-read", http.StatusOK, false},
+		{"/healthz", http.StatusOK, true},
+		{"/roster-read-old", http.StatusNotFound, true},
+		{"/visit-update", http.StatusMethodNotAllowed, true},
+	} {
+		if resp, _ := r.do(r.call(http.MethodGet, k.path, "id"+strings.ReplaceAll(k.path, "/", "-"))); resp.StatusCode != k.status || resp.Close != k.closes {
+			t.Errorf("%s: status %d, closes %v; want %d, %v", k.path, resp.StatusCode, resp.Close, k.status, k.closes)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/clientrequests_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// What a client got wrong is told as such, and nothing is sent on.
+func TestBadInput(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, served)
+	r.list(a.target("s-1", 0))
+	for name, tc := range map[string]struct {
+		change func(*http.Request)
+		want   int
+	}{
+		"no id":             {func(q *http.Request) { q.Header.Del(headerID) }, 400},
+		"a long id":         {func(q *http.Request) { q.Header.Set(headerID, strings.Repeat("x", 129)) }, 400},
+		"no class":          {func(q *http.Request) { q.URL.Path = "/" }, 404},
+		"unknown class":     {func(q *http.Request) { q.URL.Path = "/checkout" }, 404},
+		"wrong method":      {func(q *http.Request) { q.Method = http.MethodPut }, 405},
+		"no key":            {func(q *http.Request) { q.Header.Del(headerKey) }, 400},
+		"unknown plan":      {func(q *http.Request) { q.Header.Set(headerPlan, "gold") }, 400},
+		"no plan":           {func(q *http.Request) { q.Header.Del(headerPlan) }, 400},
+		"no account":        {func(q *http.Request) { q.URL.RawQuery = "" }, 400},
+		"short account":     {func(q *http.Request) { q.URL.RawQuery = "account=b4d65521" }, 400},
+		"huge account":      {func(q *http.Request) { q.URL.RawQuery = "account=0000000200000000" }, 400},
+		"odd account":       {func(q *http.Request) { q.URL.RawQuery = "account=000000000000000g" }, 400},
+		"no time":           {func(q *http.Request) { q.Header.Del(headerTimeLeft) }, 400},
+		"no unit":           {func(q *http.Request) { q.Header.Set(headerTimeLeft, "480") }, 400},
+		"other unit":        {func(q *http.Request) { q.Header.Set(headerTimeLeft, "4s") }, 400},
+		"no time is left":   {func(q *http.Request) { q.Header.Set(headerTimeLeft, "0m") }, 400},
+		"time without end":  {func(q *http.Request) { q.Header.Set(headerTimeLeft, "1e300m") }, 400},
+		"time past class":   {func(q *http.Request) { q.Header.Set(headerTimeLeft, "7600m") }, 400},
+		"huge units":        {func(q *http.Request) { q.Header.Set(headerWeight, "units=1e300") }, 400},
+		"units over most":   {func(q *http.Request) { q.Header.Set(headerWeight, "units=4.1") }, 400},
+		"negative units":    {func(q *http.Request) { q.Header.Set(headerWeight, "units=-1") }, 400},
+		"units given twice": {func(q *http.Request) { q.Header.Set(headerWeight, "units=1,units=2") }, 400},
+		"two ids":           {func(q *http.Request) { q.Header.Add(headerID, "worse") }, 400},
+		"two accounts":      {func(q *http.Request) { q.URL.RawQuery += "&account=00000000b4d65522" }, 400},
+		"odd time":          {func(q *http.Request) { q.Header.Set(headerTimeLeft, "NaNm") }, 400},
+		"no units":          {func(q *http.Request) { q.Header.Set(headerWeight, "units=0") }, 400},
+		"odd units":         {func(q *http.Request) { q.Header.Set(headerWeight, "units=NaN") }, 400},
+		"wide spread":       {func(q *http.Request) { q.Header.Set(headerWeight, "units=1,spread=3") }, 400},
+		"odd spread":        {func(q *http.Request) { q.Header.Set(headerWeight, "spread=1.5") }, 400},
+		"odd first":         {func(q *http.Request) { q.Header.Set(headerWeight, "first=-1") }, 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := r.call(http.MethodPost, "/visit-update", "bad")
+			tc.change(q)
+			if resp, body := r.do(q); resp.StatusCode != tc.want {
+				t.Errorf("%s %q", resp.Status, body)
+			}
+		})
+	}
+	if resp, _ := r.do(r.call(http.MethodPost, "/roster-read", "bad")); resp.StatusCode != 405 {
+		t.Errorf("a POST to a safe class: %s", resp.Status)
+	}
+	withBody := r.call(http.MethodGet, "/roster-read", "bad")
+	withBody.Body, withBody.ContentLength = io.NopCloser(strings.NewReader("x")), 1
+	if resp, _ := r.do(withBody); resp.StatusCode != 400 {
+		t.Errorf("a GET with a body: %s", resp.Status)
+	}
+	if n := a.count(); n > 0 {
+		t.Errorf("%d bad requests were sent on", n)
+	}
+	if resp, _ := r.do(r.call(http.MethodPost, "/visit-update", "good")); resp.StatusCode != 200 {
+		t.Errorf("a good one after them: %s", resp.Status)
+	}
+}
+
+// statuses reads all answers on a raw connection until it is closed.
+func statuses(t *testing.T, c net.Conn) []int {
+	t.Helper()
+	var got []int
+	for in := bufio.NewReader(c); ; {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			if ne := net.Error(nil); errors.As(err, &ne) && ne.Timeout() {
+				t.Fatalf("the connection stays open after %v", got)
+			}
+			return got
+		}
+		io.Copy(io.Discard, resp.Body)
+		got = append(got, resp.StatusCode)
+	}
+}
+
+const goodHead = headerID + ": raw\r\n" + headerPlan + ": enterprise\r\n" + headerTimeLeft + ": 7000m\r\n" + headerKey + ": k\r\n"
+
+// Nothing that hides in a body or behind one that can't be told reaches an app server: the
+// client is answered once and its connection closed.
+func TestNothingHidden(t *testing.T) {
+	r := newRig(t)
+	a := newApp(t, served)
+	r.list(a.target("s-1", 0))
+	const post = "POST /visit-update?account=00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\n" + goodHead
+	hidden := strings.ReplaceAll(strings.Replace(post, "POST /visit-update", "GET /roster-read", 1), "raw", "hidden") + "\r\n"
+	for name, tc := range map[string]struct {
+		text string
+		want int
+	}{
+		"length and chunks": {post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 400},
+		"chunks and length": {post + "Transfer-Encoding: chunked\r\nContent-Length: " + strconv.Itoa(5+len(hidden)) + "\r\n\r\n0\r\n\r\n" + hidden, 400},
+		"spaced out length": {post + "Transfer-Encoding: chunked\r\nContent-Length:5\r\n\r\n0\r\n\r\n" + hidden, 400},
+		"an odd chunk":      {post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n" + hidden, 400},
+		"two lengths":       {post + "Content-Length: 5\r\nContent-Length: 0\r\n\r\n" + hidden, 400},
+		"negative length":   {post + "Content-Length: -1\r\n\r\n" + hidden, 400},
+		"huge length":       {post + "Content-Length: 60000000\r\n\r\n" + hidden, 413},
+		"no length at all":  {post + "Content-Length: 99999999999999999999\r\n\r\n" + hidden, 400},
+		"no head":           {"\x00\x01 noise\r\n\r\n" + hidden, 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := r.dial()
+			io.WriteString(c, tc.text)
+			if got := statuses(t, c); len(got) != 1 || got[0] != tc.want {
+				t.Errorf("answered %v", got)
+			}
+		})
+	}
+	if n := a.count(); n > 0 {
+		t.Errorf("sent on: %q", a.requests())
+	}
+}
--- /dev/null
+++ b/internal/node/longanswers_test.go
@@ -0,0 +1,217 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const mega = 1 << 20
+
+// noise gives bytes that differ from place to place.
+func noise(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i*7 + i>>8*13 + i>>16*31)
+	}
+	return b
+}
+
+// stream is an app server that answers over its raw connection, once the request's body is read.
+func stream(t *testing.T, answer func(c net.Conn)) *app {
+	a := &app{}
+	a.Server = newApp(t, func(w http.ResponseWriter, _ *http.Request) {
+		c := hijack(w)
+		defer c.Close()
+		answer(c)
+	}).Server
+	return a
+}
+
+// Long answers reach their client unchanged, however they are framed and cut.
+func TestLongAnswers(t *testing.T) {
+	body := noise(3 * mega)
+	chunked := func(w io.Writer, size int) {
+		for b := body; len(b) > 0; {
+			n := min(size, len(b))
+			fmt.Fprintf(w, "%x;ext=1\r\n%s\r\n", n, b[:n])
+			b = b[n:]
+		}
+		io.WriteString(w, "0\r\nX-Sum: 1\r\n\r\n")
+	}
+	for name, answer := range map[string]func(net.Conn){
+		"of a length": func(c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		},
+		"in chunks": func(c net.Conn) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n")
+			chunked(c, 70001)
+		},
+		"behind interim ones": func(c net.Conn) {
+			io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			chunked(c, 5000)
+		},
+		"ended by close": func(c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n\r\n%s", body)
+		},
+		"cut anywhere": func(c net.Conn) {
+			var b bytes.Buffer
+			fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			for i := 1; b.Len() > 0; i = i*3 + 1 {
+				c.Write(b.Next(i))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.list(stream(t, answer).target("s-1", 0))
+			resp, got := r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+			if resp.StatusCode != 200 || sha256.Sum256([]byte(got)) != sha256.Sum256(body) {
+				t.Errorf("%s, %d bytes of %d", resp.Status, len(got), len(body))
+			}
+			r.figure(`node_success_total{tier="roster-read"}`, 1)
+			r.figure("node_inflight", 0)
+		})
+	}
+}
+
+// What comes slowly is passed on as it comes, and a silence of seconds does not end it.
+func TestSlowAnswer(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	came := make(chan struct{})
+	r.list(stream(t, func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst")
+		<-came
+		time.Sleep(answerStall + answerStall/4) // has to pass
+		io.WriteString(c, "after")
+	}).target("s-1", 0))
+	c := r.dial()
+	io.WriteString(c, "GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\n"+goodHead+"\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := make([]byte, 5)
+	if _, err := io.ReadFull(resp.Body, first); err != nil || string(first) != "first" {
+		t.Errorf("%q, %v", first, err)
+	}
+	close(came)
+	if rest, err := io.ReadAll(resp.Body); err != nil || string(rest) != "after" {
+		t.Errorf("%q, %v", rest, err)
+	}
+}
+
+// An answer that has begun and breaks ends so that the client can tell, and is counted as failed.
+func TestLongAnswerBreaks(t *testing.T) {
+	for name, head := range map[string]string{
+		"of a length": "Content-Length: 3000000\r\n\r\n",
+		"in chunks":   "Transfer-Encoding: chunked\r\n\r\n100000\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a := stream(t, func(c net.Conn) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s", head, noise(mega/2)) })
+			b := newApp(t, served)
+			r.list(a.target("s-1", 0))
+			resp, err := http.DefaultTransport.RoundTrip(r.call(http.MethodGet, "/roster-read", "id-1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			r.list(b.target("s-2", 0))
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil || n == 0 {
+				t.Errorf("%d bytes and %v", n, err)
+			}
+			r.figure(`node_failure_total{tier="roster-read"}`, 1)
+			if got := r.figures()[`node_success_total{tier="roster-read"}`]; got != 0 || b.count() != 0 {
+				t.Errorf("%g successes, %d sent again", got, b.count())
+			}
+		})
+	}
+}
+
+// The node holds little of a long answer whose client takes its time.
+func TestLongAnswersAreHeldBack(t *testing.T) {
+	const each, n = 16 * mega, 12
+	r := newRig(t)
+	var written atomic.Int64
+	piece := noise(64 << 10)
+	r.list(stream(t, func(c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", each)
+		for range each / len(piece) {
+			k, err := c.Write(piece)
+			written.Add(int64(k))
+			if err != nil {
+				return
+			}
+		}
+	}).target("s-1", 0))
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var bodies []io.ReadCloser
+	for i := range n {
+		resp, err := http.DefaultTransport.RoundTrip(r.call(http.MethodGet, "/roster-read", "id-"+strconv.Itoa(i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		bodies = append(bodies, resp.Body)
+	}
+	for last := int64(-1); last != written.Load(); time.Sleep(50 * time.Millisecond) { // until all wait
+		last = written.Load()
+	}
+	if w := written.Load(); w > each*n/2 {
+		t.Errorf("%d MB were taken that nobody reads", w/mega)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	if held := int64(during.HeapAlloc) - int64(before.HeapAlloc); held > 8*mega {
+		t.Errorf("%d MB are held for %d answers", held/mega, n)
+	}
+	for _, b := range bodies {
+		if got, err := io.Copy(io.Discard, b); got != each || err != nil {
+			t.Errorf("%d bytes, %v", got, err)
+		}
+	}
+}
+
+// A message may take its time, but not without end: a byte now and then is no progress.
+func TestMessagesComeToAnEnd(t *testing.T) {
+	if d := mostTime(bodyMostTime, 0); d != bodyMostTime {
+		t.Errorf("%v for nothing", d)
+	}
+	// The slowest proper client sends 64 kB a second.
+	if d := mostTime(bodyMostTime, 32<<20); d < 32<<20*time.Second/64000 {
+		t.Errorf("32 MB may take only %v", d)
+	}
+	b := newClientBody(strings.NewReader("x"), http.NewResponseController(&deadlines{}))
+	b.begun = time.Now().Add(-bodyMostTime)
+	set := &deadlines{}
+	b.limit = http.NewResponseController(set)
+	b.Read(make([]byte, 1))
+	if left := time.Until(set.read[0]); left > time.Second {
+		t.Errorf("another %v for a body that has had its time", left)
+	}
+}
+
+// deadlines notes the deadlines that are set.
+type deadlines struct {
+	http.ResponseWriter
+	read []time.Time
+}
+
+func (d *deadlines) SetReadDeadline(t time.Time) error {
+	d.read = append(d.read, t)
+	return nil
+}
--- /dev/null
+++ b/internal/node/serverconns.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	idlePart   = 2.0 / 3     // of the servers' keepalive that a connection may idle here
+	idleGroup  = 64          // connections of a whole group that idle to one app server
+	idleLeast  = 2           // and of one node of it, at least
+	idleSweep  = time.Second // how often idle connections are looked at
+	connBuffer = 4 << 10
+)
+
+// connCounts tells how connections to app servers begin and end, since the node started.
+type connCounts struct {
+	dialed, failed, reused atomic.Int64
+	gone                   atomic.Int64 // idle, and closed or spoiled by the app server
+	aged                   atomic.Int64 // idle for too long
+	broken                 atomic.Int64 // not to be used again after an attempt
+}
+
+// report gives the counts and the number of idle connections as attributes of a log line.
+func (u *upstream) report() []any {
+	n := 0
+	u.mu.Lock()
+	for p := range u.pools {
+		n += len(p.idle)
+	}
+	u.mu.Unlock()
+	c := &u.count
+	return []any{"dialed", c.dialed.Load(), "failed", c.failed.Load(), "reused", c.reused.Load(),
+		"gone", c.gone.Load(), "aged", c.aged.Load(), "broken", c.broken.Load(), "idle", n}
+}
+
+// pool holds the idle connections to one app server at one address. Guards against those
+// of an app server that has gone being used for one that is now at its address.
+type pool struct {
+	endpoint string
+	idle     []*conn // the most recently used last; nil for good once the pool is retired
+}
+
+// conn is a connection to an app server.
+type conn struct {
+	counted
+	raw   syscall.RawConn
+	in    answerReader
+	r     *bufio.Reader
+	w     *bufio.Writer
+	since time.Time // idle since
+}
+
+// pool makes a pool of connections to an address.
+func (u *upstream) pool(endpoint string) *pool {
+	p := &pool{endpoint: endpoint}
+	u.mu.Lock()
+	u.pools[p] = struct{}{}
+	u.mu.Unlock()
+	return p
+}
+
+// retire closes a pool's idle connections; those in use are closed when they come back.
+func (u *upstream) retire(p *pool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.pools, p)
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.idle = nil
+}
+
+// get gives the most recently used idle connection that is still good, else a new one.
+func (u *upstream) get(ctx context.Context, p *pool) (*conn, error) {
+	for {
+		c := u.pop(p)
+		if c == nil {
+			return u.dial(ctx, p.endpoint)
+		}
+		if u.good(c) {
+			u.count.reused.Add(1)
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+// good tells whether an idle connection can be used, and counts why not.
+func (u *upstream) good(c *conn) bool {
+	switch {
+	case !c.quiet():
+		u.count.gone.Add(1)
+	case time.Since(c.since) >= u.idleFor:
+		u.count.aged.Add(1)
+	default:
+		return true
+	}
+	return false
+}
+
+func (u *upstream) dial(ctx context.Context, endpoint string) (*conn, error) {
+	if !u.sockets.take(0) {
+		return nil, errNoDescriptor
+	}
+	d := net.Dialer{Timeout: u.connect, KeepAlive: -1}
+	tcp, err := d.DialContext(ctx, "tcp", endpoint)
+	if err != nil {
+		u.count.failed.Add(1)
+		u.sockets.open.Add(-1)
+		return nil, err
+	}
+	u.count.dialed.Add(1)
+	tune(tcp)
+	c := &conn{counted: counted{Conn: tcp, sockets: u.sockets}, in: answerReader{Conn: tcp}}
+	if c.raw, err = tcp.(*net.TCPConn).SyscallConn(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.r, c.w = bufio.NewReaderSize(&c.in, connBuffer), bufio.NewWriterSize(tcp, connBuffer)
+	return c, nil
+}
+
+// quiet tells whether an idle connection is open and has nothing to read. Guards
+// against writing to one that the app server has closed, which would be a reset, and
+// against taking what came behind the last answer for the next one.
+func (c *conn) quiet() bool {
+	quiet := false
+	err := c.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		quiet = err == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
+
+func (u *upstream) pop(p *pool) *conn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle[len(p.idle)-1] = nil
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+func (u *upstream) put(p *pool, c *conn) {
+	c.since = time.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	// Guards against many nodes that together keep more connections than an app server holds.
+	if _, ok := u.pools[p]; !ok || len(p.idle) >= u.idle {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// sweep closes idle connections that are old or that the app server has closed,
+// until ctx ends.
+func (u *upstream) sweep(ctx context.Context) {
+	t := time.NewTicker(idleSweep)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			u.drop(func(c *conn) bool { return !u.good(c) })
+		}
+	}
+}
+
+// drop closes the idle connections of which is tells so.
+func (u *upstream) drop(is func(*conn) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for p := range u.pools {
+		kept := p.idle[:0]
+		for _, c := range p.idle {
+			if is(c) {
+				c.Close()
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		clear(p.idle[len(kept):])
+		p.idle = kept
+	}
+}
+
+// evict closes the connection that has been idle for the longest time, where there are more
+// than some.
+func (u *upstream) evict(keep int) bool {
+	var oldest *conn
+	n := 0
+	u.drop(func(c *conn) bool {
+		if n++; oldest == nil || c.since.Before(oldest.since) {
+			oldest = c
+		}
+		return false
+	})
+	if oldest == nil || n <= keep {
+		return false
+	}
+	u.drop(func(c *conn) bool { return c == oldest })
+	return true
+}
--- /dev/null
+++ b/internal/node/serverconns_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"martennotch/control"
+)
+
+// The connection that is used again is an open one: one that the app server has closed
+// while it stood idle would end the next request as a reset.
+func TestIdleConnections(t *testing.T) {
+	var hangUp bool
+	var from []string
+	conns := make(map[string]net.Conn)
+	a := newApp(t, func(w http.ResponseWriter, r *http.Request) {
+		from = append(from, r.RemoteAddr)
+		if !hangUp {
+			served(w, r)
+			return
+		}
+		c := hijack(w)
+		conns[r.RemoteAddr] = c
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	socks := newSockets(1024, 0)
+	u := newUpstream(patience, 2*patience, 1, socks, newBudget(64))
+	p := u.pool(a.Listener.Addr().String())
+	try := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		if o := u.try(ctx, p, message(t, nil)); o.reason != control.OK {
+			t.Fatalf("%d (%v)", o.reason, o.err)
+		}
+	}
+	try()
+	hangUp = true
+	try()
+	if from[0] != from[1] {
+		t.Error("an open connection was not used again")
+	}
+	idle := p.idle[0]
+	conns[from[1]].Close()
+	for end := time.Now().Add(patience); idle.quiet() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	hangUp = false
+	try()
+	if from[2] == from[1] {
+		t.Error("a closed connection was used again")
+	}
+	u.idleFor = 0 // all have idled for too long
+	try()
+	if from[3] == from[2] {
+		t.Error("an old connection was used again")
+	}
+	if n := socks.open.Load(); n != 1 {
+		t.Errorf("%d connections open, not the last alone", n)
+	}
+}
+
+// A node that is out of descriptors doesn't hold it against the app server.
+func TestNoDescriptorLeft(t *testing.T) {
+	a := newApp(t, served)
+	socks := newSockets(0, 0)
+	socks.most.Store(0)
+	u := newUpstream(patience, patience, 1, socks, newBudget(64))
+	if o := u.try(context.Background(), u.pool(a.Listener.Addr().String()), message(t, nil)); o.reason != control.Moot || a.count() > 0 {
+		t.Errorf("%d (%v)", o.reason, o.err)
+	}
+}
+
+// Near the limit an idle connection goes for a new one.
+func TestSocketsUnderTheLimit(t *testing.T) {
+	a := newApp(t, served)
+	b := newApp(t, served)
+	socks := newSockets(0, 0)
+	socks.most.Store(1)
+	u := newUpstream(patience, 2*patience, 1, socks, newBudget(64))
+	for _, x := range []*app{a, b, a} {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		if o := u.try(ctx, u.pool(x.Listener.Addr().String()), message(t, nil)); o.reason != control.OK {
+			t.Errorf("%d (%v)", o.reason, o.err)
+		}
+		cancel()
+		if n := socks.open.Load(); n != 1 {
+			t.Errorf("%d connections open", n)
+		}
+	}
+}
+
+// A node of a large group keeps few idle connections to one app server: the sum of a group is
+// bounded whatever its size.
+func TestIdleConnectionsOfAGroup(t *testing.T) {
+	a := newApp(t, func(http.ResponseWriter, *http.Request) {})
+	for group, want := range map[int]int{1: 5, 3: 5, 16: 4, 80: 2, 100: 2} {
+		socks := newSockets(1024, 0)
+		u := newUpstream(patience, patience, group, socks, newBudget(64))
+		p := u.pool(a.Listener.Addr().String())
+		for range 5 {
+			c, err := u.dial(t.Context(), p.endpoint)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer u.put(p, c)
+		}
+		t.Cleanup(func() {
+			if n := len(p.idle); n != want || socks.open.Load() != int64(want) {
+				t.Errorf("a node of %d keeps %d idle connections to a server and has %d open, not %d",
+					group, n, socks.open.Load(), want)
+			}
+			u.retire(p)
+		})
+	}
+}
