Add rule sets and the registry of their versions, pure

Texts are read before they are proposed and not when they are applied, so that nodes with different settings or programs stay alike.

--- /dev/null
+++ b/fleet/rules/errors.go
@@ -0,0 +1,111 @@
+package rules
+
+import "fmt"
+
+// TooLargeError tells of something beyond the bytes or the number that it may have.
+type TooLargeError struct {
+	What       string
+	Have, Most int
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("%s: %d, at most %d; make it smaller", e.What, e.Have, e.Most)
+}
+
+// DocumentError tells why a text is no rule set.
+type DocumentError struct {
+	Line   int // 0 is not known
+	Key    string
+	Reason string
+}
+
+func (e *DocumentError) Error() string {
+	where := e.Key
+	if e.Line > 0 {
+		where = fmt.Sprintf("line %d: %s", e.Line, e.Key)
+	}
+	return fmt.Sprintf("rule set: %s: %s; mend the text and publish it again", where, e.Reason)
+}
+
+// UnknownError tells that a rule set names what a node's settings don't have.
+type UnknownError struct {
+	Kind string // plan, class or zone
+	Name string
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("rule set: %s %s is not in this node's settings; publish a text without it, or give the node newer settings", e.Kind, e.Name)
+}
+
+// LooserError tells that a rule set allows more than a node's settings do.
+type LooserError struct {
+	Key        string
+	Have, Most int
+}
+
+func (e *LooserError) Error() string {
+	return fmt.Sprintf("rule set: %s: %d is looser than the %d of this node's settings; publish a text with %d or less", e.Key, e.Have, e.Most, e.Most)
+}
+
+// AllClosedError tells that a rule set closes each zone that a node knows.
+type AllClosedError struct{ Zones []string }
+
+func (e *AllClosedError) Error() string {
+	return fmt.Sprintf("rule set: zones: all of %v are closed; publish a text that leaves one open", e.Zones)
+}
+
+// StaleVersionError tells that a command was made for another state of the registry: a publication
+// whose parent is not the newest version, or an activation of a number that others have passed.
+type StaleVersionError struct {
+	Have uint64 // what the registry has
+	Want uint64 // what the command goes by
+}
+
+func (e *StaleVersionError) Error() string {
+	return fmt.Sprintf("registry: the command goes by version %d, the registry has %d; read the status and decide anew", e.Want, e.Have)
+}
+
+// NoVersionError tells that a number names no version, or one whose text is not kept any more.
+type NoVersionError struct {
+	Number uint64
+	Text   bool // the number is known, its text is gone
+}
+
+func (e *NoVersionError) Error() string {
+	if e.Text {
+		return fmt.Sprintf("registry: the text of version %d is not kept any more; publish it anew", e.Number)
+	}
+	return fmt.Sprintf("registry: there is no version %d; read the status for those there are", e.Number)
+}
+
+// OrderError tells that an activation would not come in the order of the numbers.
+type OrderError struct {
+	Number, Other uint64 // Other is awaited, and would come on the wrong side
+}
+
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("registry: version %d can't be activated across version %d, which is awaited; cancel that one first", e.Number, e.Other)
+}
+
+// PhaseError tells that a step of an activation came out of its turn.
+type PhaseError struct {
+	Step     string
+	Number   uint64
+	Prepared uint64 // 0 is none
+}
+
+func (e *PhaseError) Error() string {
+	return fmt.Sprintf("registry: %s of version %d while version %d is prepared; nothing has changed, read the status", e.Step, e.Number, e.Prepared)
+}
+
+// SpoiltError tells that bytes are no command, snapshot or message.
+type SpoiltError struct {
+	What   string
+	Reason error
+}
+
+func (e *SpoiltError) Error() string {
+	return fmt.Sprintf("%s: %v; drop it, and look for a node of another version or a faulty disk if it comes again", e.What, e.Reason)
+}
+
+func (e *SpoiltError) Unwrap() error { return e.Reason }
--- /dev/null
+++ b/fleet/rules/registry_test.go
@@ -0,0 +1,172 @@
+package rules
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// The same draws in each run, so that the verdict is the same; -rapid.seed gives others.
+func init() { flag.Set("rapid.seed", "1") }
+
+// drawCommand draws a command that more often than not fits the registry's state.
+func drawCommand(t *rapid.T, r *Registry) Command {
+	number := rapid.Uint64Range(0, r.s.Newest+1).Draw(t, "number")
+	if len(r.s.Awaited) > 0 && rapid.Bool().Draw(t, "first") {
+		number = r.s.Awaited[0]
+	}
+	off := rapid.SampledFrom([]uint64{0, 0, 0, 1}).Draw(t, "off")
+	kind := rapid.SampledFrom([]Kind{Overlap, Exclusive}).Draw(t, "kind")
+	switch rapid.IntRange(0, 5).Draw(t, "part") {
+	case 0:
+		return Command{Publish: &Publish{Parent: r.s.Newest + off, By: "a", Text: fmt.Append(nil, "# ", rapid.IntRange(0, 9).Draw(t, "text"))}}
+	case 1:
+		return Command{Activate: &Activate{Number: number, Kind: kind, At: rapid.Uint64Range(0, 3).Draw(t, "at"), By: "b"}}
+	case 2:
+		return Command{Back: &Back{Parent: r.s.Newest + off, Of: number, Kind: kind, By: "c"}}
+	case 3:
+		return Command{Cancel: &Cancel{Number: number, By: "d"}}
+	case 4:
+		return Command{Prepare: &Prepare{Number: number}}
+	}
+	return Command{Commit: &Commit{Number: number, Step: r.s.Step - min(off, r.s.Step)}}
+}
+
+// Numbers only grow, what was published stays what it is, the active version is never an older one,
+// its text and those awaited are kept; a refused command changes nothing; a snapshot taken anywhere
+// goes on as the registry does.
+func TestRegistryKeepsWhatIsAgreed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, other := &Registry{}, &Registry{}
+		agreed := map[uint64]Version{}
+		for range rapid.IntRange(1, 80).Draw(t, "commands") {
+			before, err := r.Snapshot()
+			require.NoError(t, err)
+			was := r.s
+			raw, err := drawCommand(t, r).Encode()
+			require.NoError(t, err)
+			if rapid.IntRange(0, 9).Draw(t, "spoil") == 0 {
+				raw[rapid.IntRange(0, len(raw)-1).Draw(t, "byte")] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+			}
+			res, err := r.Apply(raw)
+			again, err2 := other.Apply(raw)
+			require.Equal(t, err, err2)
+			require.Equal(t, res, again)
+			after, _ := r.Snapshot()
+			if err != nil {
+				require.Equal(t, before, after)
+			}
+			restored, err := Restore(after)
+			require.NoError(t, err)
+			other = restored
+
+			require.GreaterOrEqual(t, r.s.Newest, was.Newest)
+			require.GreaterOrEqual(t, r.s.Active, was.Active)
+			require.Equal(t, res.Word, r.s.Step != was.Step)
+			for _, v := range r.Versions() {
+				old, ok := agreed[v.Number]
+				if !ok {
+					require.Greater(t, v.Number, was.Newest)
+					agreed[v.Number] = v
+					continue
+				}
+				require.Equal(t, [4]any{old.Digest, old.Parent, old.Of, old.By}, [4]any{v.Digest, v.Parent, v.Of, v.By})
+			}
+			for _, n := range append([]uint64{r.s.Active}, r.s.Awaited...) {
+				if n != 0 {
+					v, err := r.Version(n)
+					require.NoError(t, err)
+					require.NotNil(t, v.Text)
+				}
+			}
+		}
+	})
+}
+
+func TestRegistryGoesByItsErrors(t *testing.T) {
+	r := &Registry{}
+	do := func(c Command) error {
+		_, err := r.Do(c)
+		return err
+	}
+	for n := range uint64(versionsKept + 40) {
+		require.NoError(t, do(Command{Publish: &Publish{Parent: n, Text: fmt.Append(nil, "# ", n)}}))
+	}
+	newest := r.Newest()
+	assert.LessOrEqual(t, len(r.s.Versions), versionsKept+1)
+	assert.Equal(t, &StaleVersionError{Have: newest, Want: 3}, do(Command{Publish: &Publish{Parent: 3}}))
+	assert.Equal(t, &NoVersionError{Number: 2}, do(Command{Activate: &Activate{Number: 2, Kind: Overlap}}))
+	assert.Equal(t, &NoVersionError{Number: newest - textsKept, Text: true}, do(Command{Back: &Back{Parent: newest, Of: newest - textsKept, Kind: Overlap}}))
+	require.NoError(t, do(Command{Activate: &Activate{Number: newest - 1, Kind: Exclusive, At: 70}}))
+	assert.Equal(t, &OrderError{Number: newest, Other: newest - 1}, do(Command{Activate: &Activate{Number: newest, Kind: Overlap, At: 60}}))
+	assert.Equal(t, &OrderError{Number: newest - 2, Other: newest - 1}, do(Command{Activate: &Activate{Number: newest - 2, Kind: Overlap, At: 80}}))
+	require.NoError(t, do(Command{Activate: &Activate{Number: newest - 2, Kind: Overlap}}))
+	number, at, ok := r.Due()
+	assert.Equal(t, [3]any{newest - 2, uint64(0), true}, [3]any{number, at, ok})
+	assert.Equal(t, &PhaseError{Step: "preparing", Number: newest - 1}, do(Command{Prepare: &Prepare{Number: newest - 1}}))
+	require.NoError(t, do(Command{Prepare: &Prepare{Number: newest - 2}}))
+
+	// A commit by the step of a preparation that was cancelled counts for nothing.
+	step := r.Word().Step
+	require.NoError(t, do(Command{Cancel: &Cancel{Number: newest - 2}}))
+	require.NoError(t, do(Command{Activate: &Activate{Number: newest - 2, Kind: Overlap}}))
+	require.NoError(t, do(Command{Prepare: &Prepare{Number: newest - 2}}))
+	assert.Equal(t, &PhaseError{Step: "activating", Number: newest - 2, Prepared: newest - 2}, do(Command{Commit: &Commit{Number: newest - 2, Step: step}}))
+	require.NoError(t, do(Command{Commit: &Commit{Number: newest - 2, Step: r.Word().Step}}))
+	assert.Equal(t, &StaleVersionError{Have: newest - 2, Want: newest - 3}, do(Command{Activate: &Activate{Number: newest - 3, Kind: Overlap}}))
+
+	// A way back is the older text under a new number, and what was awaited is off.
+	require.NoError(t, do(Command{Back: &Back{Parent: newest, Of: newest - 5, Kind: Exclusive, By: "ops"}}))
+	back, err := r.Version(newest + 1)
+	require.NoError(t, err)
+	assert.Equal(t, fmt.Append(nil, "# ", newest-6), back.Text)
+	off, _ := r.Version(newest - 1)
+	assert.Equal(t, Cancelled, off.Fate)
+}
+
+func FuzzCommand(f *testing.F) {
+	for _, c := range []Command{{Publish: &Publish{Text: []byte("#")}}, {Commit: &Commit{Number: 1, Step: 2}}, {Back: &Back{Of: 1, Kind: Overlap}}} {
+		raw, err := c.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r := &Registry{}
+		_, _ = r.Do(Command{Publish: &Publish{Text: []byte("# 1")}})
+		if _, err := r.Apply(raw); err == nil {
+			snapshot, _ := r.Snapshot()
+			if _, err := Restore(snapshot); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+func FuzzRestore(f *testing.F) {
+	r := &Registry{}
+	for n := range uint64(3) {
+		_, _ = r.Do(Command{Publish: &Publish{Parent: n, Text: []byte("# 1")}})
+	}
+	_, _ = r.Do(Command{Activate: &Activate{Number: 2, Kind: Exclusive}})
+	_, _ = r.Do(Command{Prepare: &Prepare{Number: 2}})
+	raw, _ := r.Snapshot()
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := Restore(raw)
+		if err != nil {
+			return
+		}
+		r.Word()
+		for _, v := range r.Versions() {
+			_, _ = r.Do(Command{Back: &Back{Parent: r.Newest(), Of: v.Number, Kind: Overlap}})
+			_, _ = r.Do(Command{Prepare: &Prepare{Number: r.Newest()}})
+			_, _ = r.Do(Command{Commit: &Commit{Number: r.Newest(), Step: r.Word().Step}})
+		}
+	})
+}
--- /dev/null
+++ b/fleet/rules/set_test.go
@@ -0,0 +1,106 @@
+package rules
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const whole = `
+[plans.gold]
+price = 2.5
+quota = 0.5
+[plans.free]
+[customers."gold 00000000b4d65521"]
+quota = 1.5
+[classes.lookup]
+attempts = 2
+[limits]
+in_flight = 300
+attempts = 3
+[zones.hall-a]
+closed = true
+[zones.hall-b]
+cost = 0.2
+[work]
+hosts = [{ name = "h1", needs = "20m" }]
+[uplinks.east]
+every = "95m"
+`
+
+var here = Settings{Plans: []string{"free", "gold"}, Classes: []string{"charge", "lookup"}, Zones: []string{"hall-a", "hall-b"}, Attempts: 5, InFlight: 400}
+
+func TestSetIsReadAndCompiled(t *testing.T) {
+	s, err := Parse([]byte(whole))
+	require.NoError(t, err)
+	c, err := s.Compile(here)
+	require.NoError(t, err)
+	assert.True(t, math.IsNaN(c.Price[0]))
+	c.Price[0] = 0
+	assert.Equal(t, &Compiled{Price: []float64{0, 2.5}, Quota: []float64{1, 0.5}, Customers: map[string]float64{"gold 00000000b4d65521": 1.5},
+		Attempts: []int{3, 2}, InFlight: 300, Closed: []string{"hall-a"}, Cost: map[string]float64{"hall-b": 0.2}}, c)
+	text, err := Section(s.Work)
+	require.NoError(t, err)
+	assert.Contains(t, string(text), "needs = '20m'")
+
+	none, err := Parse(nil)
+	require.NoError(t, err)
+	c, err = none.Compile(here)
+	require.NoError(t, err)
+	assert.Equal(t, []int{5, 5}, c.Attempts)
+	assert.Equal(t, 400, c.InFlight)
+}
+
+func TestSetIsRefused(t *testing.T) {
+	for text, want := range map[string]error{
+		"[plans.gold]\nfee = 1":                &DocumentError{2, "plans.gold.fee", "unknown key"},
+		"[plans.gold]\nprice = -1":             &DocumentError{0, "plans.gold.price", "-1 is not within 0 to 1000"},
+		"[plans.gold]\nprice = nan":            &DocumentError{0, "plans.gold.price", "NaN is not within 0 to 1000"},
+		"[customers.gold]\nquota = 1":          &DocumentError{0, "customers.gold", "no plan and customer: a plan's name, a space, 16 hex digits"},
+		"[limits]\nattempts = 0":               &DocumentError{0, "limits.attempts", "0 is not within 1 to 1048576"},
+		"[plans.brass]":                        &UnknownError{"plan", "brass"},
+		"[customers.\"tin 00000000b4d65521\"]": &UnknownError{"plan", "tin"},
+		"[classes.bulk]":                       &UnknownError{"class", "bulk"},
+		"[zones.hall-c]":                       &UnknownError{"zone", "hall-c"},
+		"[limits]\nattempts = 6":               &LooserError{"limits.attempts", 6, 5},
+		"[limits]\nin_flight = 401":            &LooserError{"limits.in_flight", 401, 400},
+		"[classes.lookup]\nattempts = 6":       &LooserError{"classes.lookup.attempts", 6, 5},
+		"[zones.hall-a]\nclosed = true\n[zones.hall-b]\nclosed=true": &AllClosedError{here.Zones},
+		"#" + string(make([]byte, TextMost)):                         &TooLargeError{"bytes of a rule set", TextMost + 1, TextMost},
+	} {
+		s, err := Parse([]byte(text))
+		if err == nil {
+			err = s.Check(here)
+		}
+		assert.Equal(t, want, err, "%.40q", text)
+	}
+	for _, text := range []string{"[plans", "[plans.gold]\nprice = 'x'", "plans = 3"} {
+		_, err := Parse([]byte(text))
+		var doc *DocumentError
+		require.ErrorAs(t, err, &doc, text)
+		assert.Positive(t, doc.Line, text)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte("[limits]\nattempts = 1e400"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse(text)
+		if err != nil {
+			return
+		}
+		if c, err := s.Compile(here); err == nil {
+			for i := range c.Attempts {
+				if c.Attempts[i] > here.Attempts || c.InFlight > here.InFlight || c.Attempts[i] < 1 || !(c.Quota[0] <= quotaMost) {
+					t.Fatalf("looser than the settings: %+v", c)
+				}
+			}
+		}
+		if _, err := Section(s.Work); err != nil {
+			t.Fatalf("the work plan can't be written again: %v", err)
+		}
+	})
+}
