Add the work plan and the commands of the turns in which machines go out for work

Operators hold the order in which machines are taken out in hand. The plan is one strict TOML section with ranges of hosts; its errors name key and host. The commands are what a replicated log is to carry: plan, evidence, words of machines, orders by hand.

--- /dev/null
+++ b/fleet/turns/plan_test.go
@@ -0,0 +1,119 @@
+package turns
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const goodPlan = `
+grant = "30s"
+drain = "5s"
+warm = "1m"
+[bounds]
+zone = 0.34
+set = 0.5
+sets = [3, 8]
+warm = 0.25
+one = true
+uplink = "10m"
+[trouble]
+served = 0.02
+lost = "1s"
+resume = "rule"
+calm = "30s"
+[[jobs]]
+name = "kernel"
+hosts = ["edge-[01-12]", "rate-a"]
+length = "20m"
+deadline = "2026-10-03T04:00:00+02:00"
+[[apart]]
+name = "sources"
+hosts = ["edge-01", "edge-07"]
+most = 1
+`
+
+func TestPlanIsReadAndWritten(t *testing.T) {
+	p, err := Parse([]byte(goodPlan))
+	require.NoError(t, err)
+	c, err := compile(p)
+	require.NoError(t, err)
+	assert.Len(t, c.hosts, 13)
+	assert.Equal(t, work{"kernel", Span(20 * time.Minute), Moment(time.Date(2026, 10, 3, 2, 0, 0, 0, time.UTC).UnixMilli())}, c.work["edge-12"])
+	assert.Equal(t, Part(340), p.Bounds.Zone)
+	text, err := toml.Marshal(p) // as a rule set's document has it
+	require.NoError(t, err)
+	again, err := Parse(text)
+	require.NoError(t, err)
+	assert.Equal(t, p, again)
+	raw, err := (&Command{Load: &Load{Version: 1, Plan: p}}).Encode()
+	require.NoError(t, err)
+	read, err := DecodeCommand(raw)
+	require.NoError(t, err)
+	assert.Equal(t, p, read.Load.Plan)
+}
+
+// What can't be followed is refused with key and host, in one line that says what to do.
+func TestPlanIsRefused(t *testing.T) {
+	many := strings.Repeat(`"x-[000001-004000]", `, 3)
+	for _, c := range []struct{ old, new, key, host string }{
+		{`drain = "5s"`, "drain = \"5s\"\nhurry = true", "hurry", ""},
+		{`sets = [3, 8]`, `sets = [3, 8]` + "\nsoon = 1", "bounds.soon", ""},
+		{`drain = "5s"`, `drain = "soon"`, "drain", ""},
+		{`drain = "5s"`, `drain = "200h"`, "drain", ""},
+		{`grant = "30s"`, ``, "grant", ""},
+		{`zone = 0.34`, `zone = 1.5`, "bounds.zone", ""},
+		{`zone = 0.34`, ``, "bounds.zone", ""},
+		{`sets = [3, 8]`, `sets = []`, "bounds.sets", ""},
+		{`sets = [3, 8]`, `sets = [0]`, "bounds.sets", ""},
+		{`"rule"`, `"soon"`, "trouble.resume", ""},
+		{`"rate-a"`, `"rate a"`, "jobs.0.hosts", "rate a"},
+		{`"rate-a"`, `"edge-04"`, "jobs.0.hosts", "edge-04"},
+		{`"rate-a"`, `"edge-[9-1]"`, "jobs.0.hosts", "edge-[9-1]"},
+		{`"rate-a"`, many + `"y"`, "jobs.0.hosts", "x-[000001-004000]"},
+		{`+02:00`, ``, "jobs.deadline", ""},
+		{`most = 1`, `most = 2`, "apart.0.most", ""},
+		{`"edge-07"]`, `"edge-01"]`, "apart.0.hosts", "edge-01"},
+		{`name = "sources"`, `name = ""`, "apart.0.name", ""},
+		{`[[apart]]`, "[[jobs]]\nname = \"kernel\"\nhosts = [\"z\"]\nlength = \"1m\"\n[[apart]]", "jobs.1.name", ""},
+		{`[bounds]`, `#` + strings.Repeat("x", PlanMost) + "\n[bounds]", "document", ""},
+		{`[bounds]`, `[bounds`, "document", ""},
+	} {
+		text := strings.Replace(goodPlan, c.old, c.new, 1)
+		require.NotEqual(t, goodPlan, text, c.old)
+		_, err := Parse([]byte(text))
+		var plan *PlanError
+		if !assert.ErrorAs(t, err, &plan, c.new) {
+			continue
+		}
+		assert.Equal(t, [2]string{c.key, c.host}, [2]string{plan.Key, plan.Host}, "%.80s: %v", c.new, err)
+		assert.NotContains(t, err.Error(), "\n")
+		assert.NotEmpty(t, plan.Do)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodPlan))
+	f.Add([]byte(`jobs = [{name="x", hosts=["a-[1-9]"], length="1m"}]`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		p, err := Parse(text)
+		if err != nil {
+			if assert.NotContains(t, err.Error(), "\n") {
+				assert.ErrorAs(t, err, new(*PlanError))
+			}
+			return
+		}
+		again, err := toml.Marshal(p)
+		require.NoError(t, err)
+		q, err := Parse(again)
+		if len(again) <= PlanMost {
+			require.NoError(t, err, fmt.Sprintf("%s", again))
+			require.Equal(t, p, q)
+		}
+	})
+}
