--- a/control/api.go
+++ b/control/api.go
@@ -1,10 +1,17 @@
+// Package control decides for one gateway what becomes of each request: whether
+// it is let in, when its plan has a turn, which server gets it and what follows
+// a failure. Its interface, that is settings, events and actions, is api.go.
+//
+// The path of a request: quota (metered chance) -> queue of its plan ->
+// weighted round robin by share -> in-flight bound -> choice of server.
 package control
 
 import "time"
 
 // This file is the interface of the module: the settings a gateway is started
 // with, the events it is told of and the actions it answers with. It holds
-// types only; every decision is in control.go.
+// types only; every decision is in the files that the deploy file names under
+// policy.
 //
 // Times are time.Duration on a clock of the caller's choice that only moves
 // forward; spans are time.Duration too. Units, rates and loads are float64.
--- a/control/control.go
+++ b/control/control.go
@@ -1,9 +1,3 @@
-// Package control decides for one gateway what becomes of each request: whether
-// it is let in, when its plan has a turn, which server gets it and what follows
-// a failure. Its interface, that is settings, events and actions, is api.go.
-//
-// The path of a request: quota (metered chance) -> queue of its plan ->
-// weighted round robin by share -> in-flight bound -> choice of server.
 package control
 
 import (
@@ -129,36 +123,6 @@
 	reportEvery  = 5 * time.Second      // how often the operators' log is told what became of requests
 )
 
-// New makes the controller of one gateway. All randomness comes from seed.
-func New(s Settings, seed uint64) (*Controller, error) {
-	if err := validate(&s); err != nil {
-		return nil, err
-	}
-	c := newController(s, seed)
-	c.retries, c.nextTry, c.clock.lag, c.unitsMean = c.retryRoom(), retryAfter, lagFirst, unitsFirst
-	for i := range c.set.Classes {
-		k := &c.set.Classes[i]
-		c.classes[k.Name], c.usual[k] = k, &usualTTL{}
-		c.topWorth = math.Max(c.topWorth, k.Worth)
-	}
-	prices := make([]float64, len(s.Plans))
-	for i, p := range s.Plans {
-		pl := &plan{Plan: p, index: i, share: 1 / float64(len(s.Plans))}
-		c.plans, c.planOf[p.Name], prices[i] = append(c.plans, pl), pl, p.Price
-	}
-	c.law = newShareLaw(prices)
-	return c, nil
-}
-
-func (c *Controller) begin() {
-	if c.started = true; c.start == 0 { // else that of the process before
-		c.start = c.now
-	}
-	c.nextReport = c.now + reportEvery
-	c.nextInterval = c.now + interval
-	c.act(Arm{After: tick, Label: tickLabel})
-}
-
 // ---- server list ----
 
 func (c *Controller) onList(e List) {
@@ -172,8 +136,7 @@
 		s.home = c.home(s)
 	}
 	if c.bound == 0 {
-		first := math.Min(perServer, groupFirst/float64(c.set.GroupSize))
-		c.bound = math.Max(c.floor(), first*c.count((*server).usable))
+		c.bound = max(c.floor(), min(perServer, groupFirst/float64(c.set.GroupSize))*c.usables)
 	}
 }
 
@@ -195,8 +158,6 @@
 // herd tells whether so many gateways share the load that each knows little of it.
 func (c *Controller) herd() bool { return c.set.GroupSize >= herdLeast }
 
-func (s *server) usable() bool { return s.listed && s.Condition == On }
-
 func (c *Controller) aside(s *server) bool { return s.strikes >= strikesOut && c.now < s.asideUntil }
 
 // floor is twice the ready servers, the least that the bound may be, or where the floors of the whole
@@ -205,15 +166,13 @@
 func (c *Controller) floor() float64 {
 	n := 0.0
 	for _, s := range c.order {
-		switch {
-		case !s.usable() || s.strikes >= strikesOut:
-		case s.coldRamp && c.herd():
+		if s.usable() && s.strikes < strikesOut && s.coldRamp && c.herd() {
 			n += c.warmth(s)
-		default:
+		} else if s.usable() && s.strikes < strikesOut {
 			n++
 		}
 	}
-	return math.Min(perServer, groupLeast/float64(c.set.GroupSize)) * math.Max(1, n)
+	return min(perServer, groupLeast/float64(c.set.GroupSize)) * max(1, n)
 }
 
 // ---- quota ----
@@ -223,13 +182,13 @@
 	q := c.custs[key]
 	if q == nil {
 		q = &customer{plan: p, at: c.now, seenFrom: c.now, level: c.whole() * p.Depth, carry: c.rng.Float64(),
-			spread: math.Max(1, float64(spread)), smooth: usePrior * p.Rate}
+			spread: max(1, float64(spread)), smooth: usePrior * p.Rate}
 		// Just started, the ceiling's store has the slack only: what a former self passed on is not known.
 		q.ceiling = c.whole() * (ceilingStart*p.CeilingSlack + (c.now-c.start).Seconds()*p.CeilingRate) / q.spread
 		q.openCap = c.whole() * float64(p.Open) / q.spread
 		c.custs[key] = q
 	}
-	q.spread = math.Max(q.spread, float64(spread))
+	q.spread = max(q.spread, float64(spread))
 	c.refill(q)
 	return q
 }
@@ -241,13 +200,13 @@
 	q.at = c.now
 	c.roll(q)
 	part := c.whole()
-	q.level = math.Min(part*q.plan.Depth, q.level+part*dt*q.plan.Rate)
-	q.ceiling = math.Min(part*q.plan.CeilingBurst/q.spread, q.ceiling+part*dt*q.plan.CeilingRate/q.spread)
+	q.level = min(part*q.plan.Depth, q.level+part*dt*q.plan.Rate)
+	q.ceiling = min(part*q.plan.CeilingBurst/q.spread, q.ceiling+part*dt*q.plan.CeilingRate/q.spread)
 }
 
 // part is the learned part of a customer's use that comes through this gateway.
 func (q *customer) part() float64 {
-	return math.Min(1, math.Max(shareLeast, (sharePrior/q.spread+q.ownSum)/(sharePrior+q.allSum)))
+	return min(1, max(shareLeast, (sharePrior/q.spread+q.ownSum)/(sharePrior+q.allSum)))
 }
 
 // others is what the whole group is taken to have sent for a unit sent here.
@@ -257,8 +216,8 @@
 		return 1 / w
 	}
 	// What goes on elsewhere in any case is in the next reading, and no sign of a surge.
-	told := math.Min(1, q.base/math.Max(q.plan.Rate, q.base+tiny))
-	return 1 + (1-told)*(1-w)/(w+surge/math.Max(q.smooth*unmetered, surge/10))
+	told := min(1, q.base/max(q.plan.Rate, q.base+tiny))
+	return 1 + (1-told)*(1-w)/(w+surge/max(q.smooth*unmetered, surge/10))
 }
 
 // admits is the quota's decision on a request at its arrival.
@@ -291,7 +250,7 @@
 		return false
 	}
 	if p.Rate > 0 {
-		left, need := q.level-q.queued, math.Max(storeHigh*p.Depth, units)
+		left, need := q.level-q.queued, max(storeHigh*p.Depth, units)
 		if q.shared {
 			need = SharedNeed(p.Depth, units, q.few())
 		}
@@ -314,7 +273,7 @@
 
 // SharedNeed is what a store must hold, as its owner tells many: each may send one on by the same word.
 func SharedNeed(depth, units, few float64) float64 {
-	return math.Min(units*(1+sharedMore*(1-few)), sharedPart*depth)
+	return min(units*(1+sharedMore*(1-few)), sharedPart*depth)
 }
 
 // covered tells whether enough of the periods of a customer's use are told here, of those that could be
@@ -337,7 +296,7 @@
 		return q.chance
 	}
 	few := q.few()
-	chance := math.Min(chanceMax, 1-math.Pow(c.fits(q), 1+(1-few)*thinSharp*units/c.unitsMean))
+	chance := min(chanceMax, 1-math.Pow(c.fits(q), 1+(1-few)*thinSharp*units/c.unitsMean))
 	if !q.metered {
 		chance *= (1 - few) * thinUnseen
 	}
@@ -350,17 +309,17 @@
 	k := math.Exp(-(c.now - q.toldAt).Seconds() / toldAge)
 	trust := thinOwn + (1-thinOwn)*few
 	own := trust * q.tries * math.Exp(-(c.now-q.triesAt).Seconds()/toldAge)
-	seen := trust * math.Min(toldAge, (c.now-c.start).Seconds()) / q.spread
+	seen := trust * min(toldAge, (c.now-c.start).Seconds()) / q.spread
 	shape := askedShape * (1 + (1-few)*(c.unitsMean-1))
 	demand := (shape + k*q.told + own) / (shape/(askedMean*r) + k*q.toldFor + seen)
-	return math.Min(1, (r+few*burstPart*q.plan.Depth/toldAge)/demand)
+	return min(1, (r+few*burstPart*q.plan.Depth/toldAge)/demand)
 }
 
 // few is 1 for a customer that comes through so few gateways that each is told of most of its use,
 // and falls to nothing with their number. Guards, where many know little each, against a belief that
 // one try of some units moves like many, a store kept of use that nobody tells of, and parts refused
 // that are too small as most have not been told yet.
-func (q *customer) few() float64 { return math.Min(1, fewGateways/q.spread) }
+func (q *customer) few() float64 { return min(1, fewGateways/q.spread) }
 
 // draw takes a request's first send from the customer's stores.
 func (c *Controller) draw(q *customer, units float64) {
@@ -370,7 +329,7 @@
 	if !q.shared { // what others send is in what is told
 		f *= c.others(q)
 	}
-	q.level = math.Max(-q.plan.Depth, q.level-f)
+	q.level = max(-q.plan.Depth, q.level-f)
 	q.own.add(units)
 	q.charged.add(f)
 }
@@ -412,16 +371,16 @@
 		c.meterOpen(q, pct, force, asked)
 		return
 	}
-	q.ownSum = q.ownSum*shareKeep + math.Min(own, used)
+	q.ownSum = q.ownSum*shareKeep + min(own, used)
 	q.allSum = q.allSum*shareKeep + used
 	// The lower of the last two readings is taken to go on elsewhere.
-	q.base = (1 - q.part()) * math.Min(math.Min(used, q.lastUsed)/c.set.MeterPeriod.Seconds(), q.plan.Rate)
+	q.base = (1 - q.part()) * min(min(used, q.lastUsed)/c.set.MeterPeriod.Seconds(), q.plan.Rate)
 	q.lastUsed = used
 	q.smooth += (1 - useKeep) * (used/c.set.MeterPeriod.Seconds() - q.smooth)
-	q.level = math.Min(c.whole()*q.plan.Depth, math.Max(-q.plan.Depth/2, q.level-used+charged))
+	q.level = min(c.whole()*q.plan.Depth, max(-q.plan.Depth/2, q.level-used+charged))
 	// What was charged for use elsewhere that no reading has told of yet is a guess, and this one
 	// tells how far the store is from empty.
-	q.level += (1 - few) * thinTold * math.Max(0, c.whole()*q.plan.Depth*(1-pct/100)-q.level)
+	q.level += (1 - few) * thinTold * max(0, c.whole()*q.plan.Depth*(1-pct/100)-q.level)
 }
 
 // learn finds when the meter's periods end and how late they are told: the pair under which own sends
@@ -431,7 +390,7 @@
 	var misfit [binsPeriod + lagMost]float64 // of a period that ended so many bins ago
 	for ago := range misfit {
 		own := q.own.over(now - int64(ago))
-		misfit[ago] = (math.Max(0, own-used) + lagWeak*math.Max(0, part*used-own)) / (units + used + own)
+		misfit[ago] = (max(0, own-used) + lagWeak*max(0, part*used-own)) / (units + used + own)
 	}
 	for ph := int64(0); ph < binsPeriod; ph++ {
 		ago := now - flip(now, ph)
@@ -453,13 +412,13 @@
 	if q.openCap > q.openLeast() {
 		q.chance = 0
 	} else if asked > 0 || pct <= 100 {
-		q.chance = math.Min(chanceMax, math.Max(0, 1-(1-force)*100/math.Max(pct, 1)))
+		q.chance = min(chanceMax, max(0, 1-(1-force)*100/max(pct, 1)))
 	}
 	if pct > 100 || q.openHit {
-		q.openCap *= math.Max(openDown, math.Min(boundUp, 100/math.Max(pct, 1)))
+		q.openCap *= max(openDown, min(boundUp, 100/max(pct, 1)))
 	}
 	most := float64(q.plan.Open)
-	q.openCap, q.openHit = math.Min(most, math.Max(q.openLeast(), q.openCap)), false
+	q.openCap, q.openHit = min(most, max(q.openLeast(), q.openCap)), false
 }
 
 // openLeast is half of an even part of an open quota.
@@ -508,7 +467,7 @@
 	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, long: e.Long, arrived: c.now,
 		aim: c.now + k.Aim - waited, giveUp: c.now + e.TTL}
 	c.reqs[r.id] = r
-	c.retries = math.Min(c.retryRoom(), c.retries+retryEarn)
+	c.retries = min(c.retryRoom(), c.retries+retryEarn)
 	c.enqueue(r, false)
 	part := queueAim
 	if p.Open > 0 {
@@ -599,15 +558,6 @@
 	return n+1 <= c.bound || n < c.bound && c.now >= c.restUntil
 }
 
-// busyNow counts attempts out and timed-out work that is taken to go on.
-func (c *Controller) busyNow() float64 {
-	for len(c.ghosts) > 0 && c.ghosts[0].until <= c.now {
-		c.ghosts[0].srv.ghosts--
-		c.ghosts = c.ghosts[1:]
-	}
-	return float64(c.inflight - c.streams + len(c.ghosts))
-}
-
 // turn is one step of the weighted round robin: the plan with the most credit
 // among those that have a request to send. An empty queue passes its turn.
 func (c *Controller) turn() (*request, *server) {
@@ -635,7 +585,7 @@
 func (c *Controller) head(p *plan) (*request, *server) {
 	for _, r := range p.queue {
 		if p.Open > 0 && r.sends == 0 && (c.now < r.cust.openNext ||
-			float64(r.cust.open) >= math.Max(1, math.Floor(r.cust.openCap))) {
+			float64(r.cust.open) >= max(1, math.Floor(r.cust.openCap))) {
 			r.cust.openHit = true
 			continue
 		}
@@ -661,9 +611,6 @@
 	if r.group == nil && r.class.Effect == Guarded {
 		r.firstRun = c.now
 	}
-	if s.working() == 0 {
-		s.heard = c.now
-	}
 	if s.coldRamp {
 		s.tokens -= r.units
 	}
@@ -718,15 +665,15 @@
 func (c *Controller) cost(s *server) float64 {
 	base := c.latency
 	if s.coldRamp { // it holds less and is no slower for that; its queue is new
-		base = cmp.Or(c.coldLatency, math.Min(c.idle, c.latency))
+		base = cmp.Or(c.coldLatency, min(c.idle, c.latency))
 	}
-	base = math.Max(base, 1e-3)
+	base = max(base, 1e-3)
 	lat := base
 	if s.latency > 0 {
 		lat = base + (s.latency-base)*math.Exp(-(c.now-s.latencyAt).Seconds()/c.recall())
 	}
 	if s.working() > 0 { // a server that is silent is at least as slow as its silence
-		lat = math.Max(lat, (c.now - s.heard).Seconds())
+		lat = max(lat, (c.now - s.heard).Seconds())
 	}
 	n := float64(s.working() + s.ghosts)
 	cost := lat * (n + 1)
@@ -739,7 +686,7 @@
 	if c.spoken(s) {
 		cost *= toldCost
 	}
-	f := math.Max(0, c.failing(s)-failGain) // one failure says nothing
+	f := max(0, c.failing(s)-failGain) // one failure says nothing
 	return cost * (1 + failCost*f*f) * (1 + tieNoise*c.rng.Float64())
 }
 
@@ -759,11 +706,11 @@
 // homes is the part of the group that a server is home to, and so of the servers that are home here.
 // A cold one is so for more: what each may send it is little, and little passes through some.
 func (c *Controller) homes(s *server) float64 {
-	part := math.Max(homeGateways/float64(c.set.GroupSize), homeServers/math.Max(c.usables, 1))
+	part := max(homeGateways/float64(c.set.GroupSize), homeServers/max(c.usables, 1))
 	if s.coldRamp {
 		part *= coldHomes
 	}
-	return math.Min(1, part)
+	return min(1, part)
 }
 
 // failing is the part of a server's attempts that is taken to fail. It is forgotten with time,
@@ -781,7 +728,7 @@
 	if c.answerRate == 0 {
 		return latencyAge
 	}
-	return math.Min(recallMost, math.Max(latencyAge, recallVisits*c.usables/c.answerRate))
+	return min(recallMost, max(latencyAge, recallVisits*c.usables/c.answerRate))
 }
 
 // fared takes whether an attempt at a server failed: 1 or 0. Guards against a server that fails part of
@@ -797,7 +744,7 @@
 		return 1
 	}
 	x := (c.now - s.coldFrom).Seconds() / c.set.Cold.Seconds()
-	return math.Min(1, math.Max(warmLeast, c.set.ColdFrom)+(1-c.set.ColdFrom)*math.Max(0, x))
+	return min(1, max(warmLeast, c.set.ColdFrom)+(1-c.set.ColdFrom)*max(0, x))
 }
 
 // coldRoom holds a cold server under this gateway's part of its budget: what warm servers do for it,
@@ -812,38 +759,38 @@
 		return true
 	}
 	w := c.warmth(s)
-	if float64(s.working()+s.ghosts) >= math.Max(1, math.Floor(w*perServer)) {
+	if float64(s.working()+s.ghosts) >= max(1, math.Floor(w*perServer)) {
 		return false
 	}
 	// Guards against one attempt a second each by many gateways: a token bucket, not a window.
 	warm := c.count(func(s *server) bool { return s.usable() && !s.coldRamp })
-	bears := c.set.FallMultiple * w * c.servedRate / math.Max(1, warm)
-	rate := math.Max(coldSafety*bears, 1/float64(c.set.GroupSize))
+	bears := c.set.FallMultiple * w * c.servedRate / max(1, warm)
+	rate := max(coldSafety*bears, 1/float64(c.set.GroupSize))
 	if c.herd() { // too little passes here to tell what a server does: it holds so many at a time
-		does := groupLeast / math.Max(c.idle, tick.Seconds()) // requests a second, warm, for all
+		does := groupLeast / max(c.idle, tick.Seconds()) // requests a second, warm, for all
 		each := c.set.FallMultiple * w * c.unitsMean * does / float64(c.set.GroupSize)
 		// Guards against a new connection for nearly each request to a cold server: most of what it
 		// bears is for those that it is home to, whatever passes through them.
 		homes := c.homes(s)
 		theirs := coldTheirs * (1 - homes)
-		if bears = (1 - theirs) * math.Max(bears, each); s.home {
+		if bears = (1 - theirs) * max(bears, each); s.home {
 			bears += theirs * each / homes
 		}
 		// Guards against the chance by which many come at one moment: what all send in a span is
 		// as uneven as its root.
 		span := math.Sqrt(c.set.FallMultiple * w * does * c.set.Fall.Seconds())
 		even := math.Sqrt(span*span+chanceSpan*chanceSpan/4) - chanceSpan/2
-		rate = bears * math.Min(coldSafety, even*even/math.Max(span*span, tiny))
+		rate = bears * min(coldSafety, even*even/max(span*span, tiny))
 	}
 	s.tokens += rate * (c.now - s.tokensAt).Seconds()
 	if s.tokensAt = c.now; c.herd() {
 		// Each may go into debt for a request, as small ones would else keep the store too low for
 		// others. Who has not come for longer comes by chance, so that not all do at one moment.
 		full, answers := rate*c.set.Fall.Seconds()/2, cmp.Or(c.answerRate, rateFirst)
-		s.tokens = math.Min(s.tokens, full)
+		s.tokens = min(s.tokens, full)
 		return s.tokens >= 0 && (s.tokens < full || c.rng.Float64()*c.unitsMean*answers < coldSurge*rate)
 	}
-	s.tokens = math.Min(s.tokens, math.Max(units, rate*c.set.Fall.Seconds()/2))
+	s.tokens = min(s.tokens, max(units, rate*c.set.Fall.Seconds()/2))
 	return s.tokens >= units
 }
 
@@ -877,11 +824,7 @@
 	if a == nil || a.req.streaming {
 		return
 	}
-	c.written(a)
-	a.req.streaming = true
-	c.streams++
-	a.srv.streams++
-	a.srv.heard = c.now
+	c.begun(a)
 	c.meter(a.cust, e.Used, a.req.units)
 	c.settleUnits(a, e.Cost)
 	c.answered(a, e.Delay)
@@ -905,7 +848,7 @@
 	if part := c.bound - c.busyNow(); part > 0 && part < 1 {
 		c.restUntil = c.now + seconds((1/part-1)*c.latency)
 	}
-	if pause := 1/math.Max(a.cust.openCap, tiny) - 1; a.cust.plan.Open > 0 && pause > 0 {
+	if pause := 1/max(a.cust.openCap, tiny) - 1; a.cust.plan.Open > 0 && pause > 0 {
 		a.cust.openNext = c.now + time.Duration(pause*float64(c.now-a.sent))
 	}
 	c.meter(a.cust, e.Used, r.units)
@@ -960,26 +903,13 @@
 	late := e.Reason == TimedOut || e.Reason == Cancelled
 	if late { // its work may go on
 		s.ghosts++
-		c.ghosts = append(c.ghosts, ghost{s, c.now + seconds(math.Min(took, zombieLife*c.latency))})
+		c.ghosts = append(c.ghosts, ghost{s, c.now + seconds(min(took, zombieLife*c.latency))})
 	}
 	if ran := e.Reason == Errored || e.Reason == ResetByPeer || late; ran && !r.mayRun {
 		r.mayRun, r.firstRun, r.group = true, a.sent, s
 	}
 }
 
-func (c *Controller) sawLatency(s *server, t float64) {
-	ease(&s.latency, t, latencyGain)
-	s.latencyAt = c.now
-}
-
-// ease moves an estimate by a part of what it lacks of the value seen; the first is taken whole.
-func ease(estimate *float64, seen, gain float64) {
-	if *estimate == 0 {
-		*estimate = seen
-	}
-	*estimate += gain * (seen - *estimate)
-}
-
 // answered takes the latency of a good answer.
 func (c *Controller) answered(a *attempt, took time.Duration) {
 	t := took.Seconds()
@@ -989,12 +919,12 @@
 		if c.coldLatency == 0 {
 			c.coldLatency = t
 		}
-		c.coldLatency += coldGain * (math.Min(t, aim) - c.coldLatency)
+		c.coldLatency += coldGain * (min(t, aim) - c.coldLatency)
 	}
 	c.seen++
-	c.latency += math.Max(fleetGain, 1/c.seen) * (math.Min(t, aim) - c.latency)
-	c.secSum += math.Min(t, aim)
-	c.latSum += math.Min(1, t/aim)
+	c.latency += max(fleetGain, 1/c.seen) * (min(t, aim) - c.latency)
+	c.secSum += min(t, aim)
+	c.latSum += min(1, t/aim)
 	c.latN++
 	c.answers++
 	if c.chanceNow(a.cust) == 0 {
@@ -1007,7 +937,7 @@
 func (c *Controller) again(r *request, a *attempt, e Response) {
 	price, why := 1.0, e.Reason
 	if why == Errored || why == ResetByPeer || why == ConnectFailed {
-		price = math.Min(1, math.Max(retryLeast, (c.now-a.sent).Seconds()/math.Max(c.latency, tiny)))
+		price = min(1, max(retryLeast, (c.now-a.sent).Seconds()/max(c.latency, tiny)))
 	}
 	ok := why != Moot && !e.Spent && c.retries >= price && c.now < r.giveUp-time.Millisecond &&
 		(c.set.SendCap == 0 || r.sends < c.set.SendCap)
@@ -1033,7 +963,7 @@
 // retryRoom is how many further attempts may be saved up: a part of what a whole group may. Guards
 // against many gateways that each have theirs full when they start, or when a hall is lost.
 func (c *Controller) retryRoom() float64 {
-	return math.Max(retryFew, retryMost*math.Min(1, fewGateways/float64(c.set.GroupSize)))
+	return max(retryFew, retryMost*min(1, fewGateways/float64(c.set.GroupSize)))
 }
 
 // dropped tells whether a request may go again for a while only, in which repeats are dropped.
@@ -1046,7 +976,7 @@
 		c.onTick()
 	} else if r := c.labels[label]; r != nil && r.queued {
 		// Guards against a starved plan that looks punctual: one shed counts as its deadline.
-		r.plan.saw(math.Max(1, r.class.Deadline.Seconds()/r.class.Aim.Seconds()))
+		r.plan.saw(max(1, r.class.Deadline.Seconds()/r.class.Aim.Seconds()))
 		c.tally.queue++
 		c.finish(r)
 	}
@@ -1070,14 +1000,14 @@
 // endInterval sets the bound and the shares for the next interval.
 func (c *Controller) endInterval(lasted float64) {
 	// The time that an idle server takes is the least seen; it may be far from or near to the aim.
-	if c.idle = math.Min(c.idle*idleCreep, c.latency); c.seen < idleLeast || c.idle == 0 {
+	if c.idle = min(c.idle*idleCreep, c.latency); c.seen < idleLeast || c.idle == 0 {
 		c.idle = c.latency
 	}
-	y := c.latSum / math.Max(1, c.latN)
+	y := c.latSum / max(1, c.latN)
 	late := y > lateAim && (y > lateMost || c.secSum > c.latN*lateIdle*c.idle)
 	// Guards against servers that refuse a plan though they have room: answers are not slow then.
 	slow := c.latN == 0 || c.secSum > c.latN*badIdle*c.idle
-	if bad := c.bad / math.Max(1, c.bad+c.answers); late || bad > badCut && slow {
+	if bad := c.bad / max(1, c.bad+c.answers); late || bad > badCut && slow {
 		if c.cut = true; c.now >= c.cutAt+seconds(2*c.latency) { // answers to sends after the last cut
 			c.cutAt, c.bound = c.now, c.bound*boundDown
 			c.tally.cuts++
@@ -1085,14 +1015,10 @@
 	} else if bad <= badHold && c.pressed {
 		c.bound *= boundUp
 	}
-	c.bound = math.Max(c.bound, c.floor())
+	c.bound = max(c.bound, c.floor())
 	ys, us := make([]float64, len(c.plans)), make([]float64, len(c.plans))
 	for i, p := range c.plans {
-		if p.lateN > 0 {
-			p.y = p.lateSum / p.lateN
-		}
-		p.lateSum, p.lateN = 0, 0
-		ys[i], us[i] = p.y, p.share
+		ys[i], us[i] = p.late(), p.share
 	}
 	if c.answers >= leastAnswers {
 		for i, u := range c.law.step(us, ys, !c.cut) {
@@ -1181,7 +1107,7 @@
 	for i := 0; i < n; i++ {
 		// Guards against slowing a dear plan first, as law (14) would while all plans are
 		// better than their goals: a plan that meets its goal has no error to track.
-		err.SetVec(i, math.Min(0, 1-err.AtVec(i)))
+		err.SetVec(i, min(0, 1-err.AtVec(i)))
 		m.Set(i, i, m.At(i, i)+shareCost*shareCost)
 		ones.SetVec(i, 1)
 	}
@@ -1194,7 +1120,7 @@
 	s1.MulVec(&s, ones)
 	v.AddScaledVec(&v, -(mat.Sum(&v)-1)/mat.Sum(&s1), &s1)
 	u := append([]float64{}, v.RawVector().Data...)
-	floats.AddConst(-math.Min(0, floats.Min(u)), u)
+	floats.AddConst(-min(0, floats.Min(u)), u)
 	floats.Scale(1/floats.Sum(u), u)
 	return u
 }
--- a/control/state.go
+++ b/control/state.go
@@ -420,11 +420,37 @@
 	return c.out
 }
 
-func newController(s Settings, seed uint64) *Controller {
-	return &Controller{set: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+// New makes the controller of one gateway. All randomness comes from seed.
+func New(s Settings, seed uint64) (*Controller, error) {
+	if err := validate(&s); err != nil {
+		return nil, err
+	}
+	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		classes: map[string]*Class{}, planOf: map[string]*plan{}, reqs: map[string]*request{},
 		usual: map[*Class]*usualTTL{}, labels: map[uint64]*request{}, attempts: map[attemptKey]*attempt{},
 		custs: map[string]*customer{}, servers: map[uint32]*server{}}
+	c.retries, c.nextTry, c.clock.lag, c.unitsMean = c.retryRoom(), retryAfter, lagFirst, unitsFirst
+	for i := range c.set.Classes {
+		k := &c.set.Classes[i]
+		c.classes[k.Name], c.usual[k] = k, &usualTTL{}
+		c.topWorth = max(c.topWorth, k.Worth)
+	}
+	prices := make([]float64, len(s.Plans))
+	for i, p := range s.Plans {
+		pl := &plan{Plan: p, index: i, share: 1 / float64(len(s.Plans))}
+		c.plans, c.planOf[p.Name], prices[i] = append(c.plans, pl), pl, p.Price
+	}
+	c.law = newShareLaw(prices)
+	return c, nil
+}
+
+func (c *Controller) begin() {
+	if c.started = true; c.start == 0 { // else that of the process before
+		c.start = c.now
+	}
+	c.nextReport = c.now + reportEvery
+	c.nextInterval = c.now + interval
+	c.act(Arm{After: tick, Label: tickLabel})
 }
 
 // merge brings the servers up to a list event and forgets those that are gone.
@@ -447,6 +473,9 @@
 
 // record books an attempt that starts now.
 func (c *Controller) record(r *request, s *server) {
+	if s.working() == 0 {
+		s.heard = c.now
+	}
 	c.attempts[attemptKey{r.id, r.sends}] = &attempt{req: r, srv: s, cust: r.cust, sent: c.now, loading: r.long}
 	r.sends++
 	r.out++
@@ -476,6 +505,15 @@
 	}
 }
 
+// begun books that the answer to an attempt has begun.
+func (c *Controller) begun(a *attempt) {
+	c.written(a)
+	a.req.streaming = true
+	c.streams++
+	a.srv.streams++
+	a.srv.heard = c.now
+}
+
 // settle books the end of an attempt; it gives nil where there is none of that name.
 func (c *Controller) settle(key attemptKey) *attempt {
 	a := c.attempts[key]
@@ -503,6 +541,39 @@
 	p.lateN++
 }
 
+// late is the mean lateness of a plan's requests in the interval that ends now, or the last known.
+func (p *plan) late() float64 {
+	if p.lateN > 0 {
+		p.y = p.lateSum / p.lateN
+	}
+	p.lateSum, p.lateN = 0, 0
+	return p.y
+}
+
+func (c *Controller) sawLatency(s *server, t float64) {
+	ease(&s.latency, t, latencyGain)
+	s.latencyAt = c.now
+}
+
+// ease moves an estimate by a part of what it lacks of the value seen; the first is taken whole.
+func ease(estimate *float64, seen, gain float64) {
+	if *estimate == 0 {
+		*estimate = seen
+	}
+	*estimate += gain * (seen - *estimate)
+}
+
+// busyNow counts attempts out and timed-out work that is taken to go on.
+func (c *Controller) busyNow() float64 {
+	for len(c.ghosts) > 0 && c.ghosts[0].until <= c.now {
+		c.ghosts[0].srv.ghosts--
+		c.ghosts = c.ghosts[1:]
+	}
+	return float64(c.inflight - c.streams + len(c.ghosts))
+}
+
+func (s *server) usable() bool { return s.listed && s.Condition == On }
+
 // working counts the attempts that keep a server at work: one whose answer has begun waits for its
 // client at most.
 func (s *server) working() int { return s.inflight - s.streams }
