--- /dev/null
+++ b/control/attempts_test.go
@@ -0,0 +1,187 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestRepeatsFollowTheEffect(t *testing.T) {
+	for _, k := range []struct {
+		name  string
+		class Class
+		why   Reason
+		again bool // another attempt is sent
+		end   string
+	}{
+		{"free", Class{Effect: Free}, Errored, true, ""},
+		{"unsafe maybe run", Class{Effect: SingleShot}, Errored, false, "control.Fail"},
+		{"unsafe never ran", Class{Effect: SingleShot}, Full, true, ""},
+		{"keyed in window", Class{Effect: Guarded, KeyScope: ScopeCell, RepeatWindow: time.Minute}, ResetByPeer, true, ""},
+		{"keyed too late", Class{Effect: Guarded, KeyScope: ScopeCell, RepeatWindow: ms}, ResetByPeer, false, "control.Fail"},
+		{"keyed by all, too late", Class{Effect: Guarded, RepeatWindow: ms}, ResetByPeer, false, "control.Refuse"},
+	} {
+		s := settings()
+		k.class.Name, k.class.Aim, k.class.Deadline = "job", 2*time.Second, 6*time.Second
+		s.Classes = []Class{k.class}
+		g := newGate(t, s, on(1, 2, 3, 4)...)
+		g.ask("a", "job", "low", "x")
+		g.now += 10 * ms
+		g.reply("a", k.why, 0)
+		if again := g.n["a"] == 2; again != k.again {
+			t.Errorf("%s: sent %d times", k.name, g.n["a"])
+		}
+		if got := fmt.Sprintf("%T", g.ends["a"]); k.end != "" && got != k.end {
+			t.Errorf("%s: ended with %s", k.name, got)
+		}
+	}
+}
+
+func TestKeyedRepeatStaysInItsGroup(t *testing.T) {
+	for scope, same := range map[Scope]func(a, b Member) bool{
+		ScopeCell: func(a, b Member) bool { return a.Cell == b.Cell },
+		ScopeZone: func(a, b Member) bool { return a.Zone == b.Zone },
+	} {
+		s := settings()
+		s.Classes[0].Effect, s.Classes[0].KeyScope, s.Classes[0].RepeatWindow = Guarded, scope, time.Minute
+		list := on(1, 2, 3, 4, 5, 6)
+		g := newGate(t, s, list...)
+		for i := 0; i < 30; i++ {
+			id := fmt.Sprint(scope, "-", i)
+			g.ask(id, "job", "low", "x")
+			g.reply(id, TimedOut, 0)
+			if g.n[id] == 2 {
+				a, b := g.sends[len(g.sends)-2].Server, g.sends[len(g.sends)-1].Server
+				if !same(list[a-1], list[b-1]) {
+					t.Fatalf("scope %v: from server %d to %d", scope, a, b)
+				}
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+}
+
+func TestAttemptLimitAndOneAtATime(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	g.ask("a", "job", "low", "x")
+	for i := 0; i < 3; i++ {
+		if g.n["a"] != i+1 {
+			t.Fatalf("%d attempts after %d failures", g.n["a"], i)
+		}
+		g.reply("a", Full, 0)
+	}
+	if _, ok := g.ends["a"].(Refuse); !ok || g.n["a"] != 3 {
+		t.Errorf("%d attempts, ended with %v", g.n["a"], g.ends["a"])
+	}
+}
+
+// Guards against a storm of fast errors that uses up the further attempts, or puts servers
+// aside that still serve half of what they are sent: twelve requests are open at a time.
+func TestStormOfFastErrorsIsRiddenOut(t *testing.T) {
+	s := settings()
+	s.SendCap = 6
+	g := newGate(t, s, on(1, 2, 3, 4)...)
+	rng := rand.New(rand.NewPCG(1, 2))
+	type outcome struct {
+		at  time.Duration
+		id  string
+		why Reason
+	}
+	var due []outcome
+	tries, seen, asked, failed := make(map[uint32]int), 0, 0, 0
+	for len(g.ends) < 2000 {
+		for ; asked-len(g.ends) < 12; asked++ {
+			g.ask(fmt.Sprint(asked), "job", "low", "x")
+		}
+		for ; seen < len(g.sends); seen++ {
+			o := outcome{g.now + 50*ms, g.sends[seen].ID, OK}
+			if srv := g.sends[seen].Server; srv > 1 && rng.IntN(2) == 0 {
+				o.at, o.why = g.now+ms, Errored
+			}
+			tries[g.sends[seen].Server]++
+			due = append(due, o)
+		}
+		first := 0
+		for i, o := range due {
+			if o.at < due[first].at {
+				first = i
+			}
+		}
+		o := due[first]
+		due = slices.Delete(due, first, first+1)
+		g.pass(o.at - g.now)
+		g.reply(o.id, o.why, 0)
+	}
+	for _, end := range g.ends {
+		if _, ok := end.(Send); !ok {
+			failed++
+		}
+	}
+	if failed > 60 {
+		t.Errorf("%d of 2000 not served; tries by server: %v", failed, tries)
+	}
+}
+
+// What a group may save up for further attempts is bounded, whatever its size, and so is what all
+// of it may send again when every server fails at once.
+func TestSumOfFurtherAttempts(t *testing.T) {
+	for _, group := range []int{1, 3, 20, 80, 300} {
+		s := fleet(group)
+		s.Classes[0].Effect, s.SendCap = Free, 5
+		sum := 0
+		for i := 0; i < group; i++ {
+			c, err := New(s, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := &gate{t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{}, due: map[uint64]time.Duration{}}
+			g.do(List{Kind: Stale, Members: on(1, 2, 3, 4, 5, 6)})
+			c.bound, c.latency = 50, 0.2
+			for j := 0; j < 10; j++ { // each fails after as long as an answer takes
+				g.ask(fmt.Sprint(j), "job", "low", fmt.Sprint(j))
+			}
+			for told := 0; told < len(g.sends); told++ {
+				g.now += 200 * ms
+				g.reply(g.sends[told].ID, Errored, 0)
+			}
+			sum += len(g.sends) - 10
+		}
+		// Each of few has twenty, each of many three, and one for ten requests.
+		if most := max(4*20, 3*group) + group*2; sum > most || sum < group {
+			t.Errorf("%d gateways: %d further attempts, at most %d", group, sum, most)
+		}
+	}
+}
+
+// Clients that give up before an answer is due make time-outs that tell nothing: neither is the bound
+// cut by them nor a server put aside, while time-outs of those who waited as long as they want an
+// answer within do both.
+func TestTimeOutsOfHastyClientsSpeakAgainstNobody(t *testing.T) {
+	for _, k := range []struct {
+		ttl   time.Duration
+		blame bool
+	}{{250 * ms, false}, {3 * time.Second, true}} {
+		g := newGate(t, settings(), on(1, 2)...)
+		g.run(10*time.Second, 100*ms, func(uint32) time.Duration { return 200 * ms })
+		g.c.bound, g.c.pressed = 8, false
+		cuts, aside := g.c.tally.cuts, false
+		for i := 0; i < 40; i++ {
+			id := fmt.Sprint("hasty", i)
+			g.do(Request{ID: id, Class: "job", Plan: "low", Customer: id, TTL: k.ttl, Units: 1, Spread: 2})
+			if g.n[id] == 0 {
+				continue // kept out by the cut bound
+			}
+			g.pass(k.ttl)
+			g.reply(id, TimedOut, 0)
+			aside = aside || g.c.Avoided(g.now) > 0
+		}
+		if blamed := g.c.tally.cuts > cuts || g.c.bound < 8; blamed != k.blame {
+			t.Errorf("after time-outs of %v the bound is %.1f", k.ttl, g.c.bound)
+		}
+		if aside != k.blame {
+			t.Errorf("by time-outs of %v a server is put aside: %v", k.ttl, aside)
+		}
+	}
+}
--- /dev/null
+++ b/control/choice_test.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestNothingGoesToADrainingServer(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.do(List{Kind: Patch, Members: []Member{{Server: 1, Condition: Fading}}})
+	for i := 0; i < 4; i++ {
+		g.ask(fmt.Sprint(i), "job", "low", "x")
+	}
+	g.do(List{Kind: Whole, Members: on(3)})
+	g.ask("x", "job", "low", "x")
+	for _, s := range g.sends {
+		if s.Server == 1 || s.ID == "x" && s.Server != 3 {
+			t.Errorf("%s went to %d", s.ID, s.Server)
+		}
+	}
+}
+
+func TestDeadServerIsLeftAlone(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	bad := 0
+	for i := 0; i < 200; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		for g.ends[id] == nil {
+			if g.sends[len(g.sends)-1].Server == 2 {
+				bad++
+				g.reply(id, ConnectFailed, 0)
+			} else {
+				g.now += 50 * ms
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+	if bad > 12 {
+		t.Errorf("%d attempts on a server that takes no connection, in 10 s", bad)
+	}
+}
+
+// Guards against a server that fails at once, looks idle and draws all traffic.
+func TestServerThatFailsFastDoesNotDrawTheTraffic(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	bad := 0
+	for i := 0; i < 300; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		for g.ends[id] == nil {
+			if g.sends[len(g.sends)-1].Server == 2 {
+				bad++
+				g.now += ms
+				g.reply(id, Errored, 0)
+			} else {
+				g.now += 50 * ms
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+	if bad > 20 {
+		t.Errorf("%d attempts in 15 s on a server that only fails", bad)
+	}
+}
+
+// Guards against servers that fail every second request at once: never put aside, they look
+// idle and draw the traffic.
+func TestServerThatFailsHalfIsChosenLess(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	tries := make(map[uint32]int)
+	for i := 0; i < 400; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		for g.ends[id] == nil {
+			s := g.sends[len(g.sends)-1].Server
+			if tries[s]++; s == 2 && tries[s]%2 == 0 {
+				g.now += ms
+				g.reply(id, Errored, 0)
+			} else {
+				g.now += 50 * ms
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+	if tries[2] > tries[1]/2 {
+		t.Errorf("tries by server: %v", tries)
+	}
+}
+
+// Guards against a server that takes requests and never answers.
+func TestSilentServerIsLeftAlone(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4)...)
+	silent := 0
+	for i := 0; i < 200; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		g.pass(20 * ms)
+		if g.sends[len(g.sends)-1].Server == 2 {
+			silent++
+		} else if g.n[id] > 0 {
+			g.reply(id, OK, 0)
+		}
+	}
+	if silent == 0 || silent > 6 {
+		t.Errorf("%d of 200 requests in 4 s went to a server that never answers", silent)
+	}
+}
+
+// A slow server is still known for slow when a gateway of many comes round to it again; one that
+// sees each server often forgets sooner, as before.
+func TestSlowServerIsRememberedForSomeVisits(t *testing.T) {
+	var members []uint32
+	for id := uint32(1); id <= 60; id++ {
+		members = append(members, id)
+	}
+	g := newGate(t, fleet(80), on(members...)...)
+	g.run(30*time.Second, 200*ms, func(uint32) time.Duration { return 200 * ms })
+	slow := g.c.order[6]
+	g.c.sawLatency(slow, 2)
+	g.pass(12 * time.Second) // in which it sends to each server once
+	if ratio := g.c.cost(slow) / g.c.cost(g.c.order[7]); ratio < 2 {
+		t.Errorf("a server that took ten times as long costs %.1f times as much at the next visit", ratio)
+	}
+	few := newGate(t, fleet(3), on(members[:9]...)...)
+	few.run(30*time.Second, 50*ms, func(uint32) time.Duration { return 200 * ms })
+	if r := few.c.recall(); r != latencyAge {
+		t.Errorf("it is remembered for %.1f s where each server answers often", r)
+	}
+}
+
+// A server that others speak against gets next to nothing until the word is too old, or an own answer
+// speaks for it; no more than a third of all are taken so. A zone that is left gets nothing while
+// another is there, and all where it is the only one.
+func TestOthersWordAndZones(t *testing.T) {
+	fresh := func() *gate {
+		g := newGate(t, settings(), on(1, 2, 3, 4, 5, 6)...)
+		g.sentTo(60)
+		return g
+	}
+	g := fresh()
+	g.c.Handle(g.now, Hearsay{Server: 1, Witnesses: 4, Until: g.now + time.Second})
+	if got := g.sentTo(60); got[1] > 2 {
+		t.Errorf("others speak against 1: sent %v", got)
+	}
+	g.now += time.Second
+	if got := g.sentTo(60); got[1] == 0 {
+		t.Errorf("the word is old: sent %v", got)
+	}
+	g = fresh()
+	for s := range uint32(6) {
+		g.c.Handle(g.now, Hearsay{Server: s + 1, Until: g.now + time.Minute})
+	}
+	if got := g.sentTo(60); len(got) != 3 {
+		t.Errorf("others speak against all of six: sent %v", got)
+	}
+	g = fresh()
+	s := g.c.servers[1]
+	g.c.Handle(g.now, Hearsay{Server: 1, Until: g.now + time.Minute})
+	if s.latencyAt = g.now + 1; g.c.spoken(s) {
+		t.Error("an own answer as fast as others' does not speak for a server")
+	}
+	g = fresh()
+	for n, m := range g.c.order {
+		m.Zone = map[bool]string{true: "z1", false: "z2"}[n < 3]
+	}
+	g.c.Handle(g.now, Zones{Away: map[string]float64{"z2": 1}})
+	if got := g.sentTo(60); got[4]+got[5]+got[6] > 0 {
+		t.Errorf("z2 is left: sent %v", got)
+	}
+	g.c.Handle(g.now, Zones{Away: map[string]float64{"z1": 1, "z2": 1}})
+	if got := g.sentTo(60); len(got) < 5 {
+		t.Errorf("all are left: sent %v", got)
+	}
+	g.c.Handle(g.now, Zones{Away: map[string]float64{"z2": 0.5}})
+	if got := g.sentTo(400); got[4]+got[5]+got[6] < 50 || got[4]+got[5]+got[6] > 180 {
+		t.Errorf("z2 has half of its traffic: sent %v", got)
+	}
+}
--- /dev/null
+++ b/control/cold_test.go
@@ -0,0 +1,251 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+func TestColdServerIsHeldUnderItsBudget(t *testing.T) {
+	s := settings()
+	list := on(1, 2, 3, 4)
+	list[0].CameUp, list[0].HasCameUp = time.Hour-100*ms, true
+	g := newGate(t, s, list...)
+	cold, busy := 0, 0
+	for i := 0; i < 100; i++ {
+		from := len(g.sends)
+		for k := 0; k < 8; k++ {
+			g.ask(fmt.Sprint(i, "-", k), "job", "low", "x")
+		}
+		here := 0
+		for _, a := range g.sends[from:] {
+			if a.Server == 1 {
+				here++
+			}
+		}
+		cold, busy = cold+here, max(busy, here)
+		g.pass(20 * ms)
+		for k := 0; k < 8; k++ {
+			if id := fmt.Sprint(i, "-", k); g.ends[id] == nil {
+				g.reply(id, OK, 0)
+			}
+		}
+	}
+	if cold == 0 || busy > 1 {
+		t.Errorf("%d sends in 2 s to a server just started, %d at once", cold, busy)
+	}
+}
+
+// Guards against a just-started server that every gateway of a large group tries at once.
+func TestColdServerIsSharedByALargeGroup(t *testing.T) {
+	s := settings()
+	s.GroupSize = 12
+	list := on(1, 2)
+	list[0].CameUp, list[0].HasCameUp = time.Hour-ms, true
+	g := newGate(t, s, list...)
+	cold := 0
+	for i := 0; i < 300; i++ {
+		id := fmt.Sprint(i)
+		g.ask(id, "job", "low", "x")
+		g.pass(10 * ms)
+		if g.n[id] > 0 && g.sends[len(g.sends)-1].Server == 1 {
+			cold++
+			g.reply(id, OK, 0)
+		} // the warm server answers nothing, so its rate is not known
+	}
+	if cold > 1 {
+		t.Errorf("%d sends in 3 s from one of twelve gateways that knows no rate", cold)
+	}
+}
+
+// Cold servers that answer at once are used beside warm ones that are slow: what a gateway of many
+// has seen of a few cold ones tells of the others.
+func TestColdServersThatAnswerFastAreUsed(t *testing.T) {
+	s := fleet(80)
+	s.Cold = 40 * time.Second
+	var warm []uint32
+	for id := uint32(1); id <= 24; id++ {
+		warm = append(warm, id)
+	}
+	g := newGate(t, s, on(warm...)...)
+	takes := func(server uint32) time.Duration {
+		if server > 24 {
+			return 200 * ms
+		}
+		return 500 * ms
+	}
+	g.run(10*time.Second, 200*ms, takes)
+	var cold []Member
+	for id := uint32(25); id <= 60; id++ {
+		cold = append(cold, Member{Server: id, Zone: "z1", Size: 1, CameUp: g.now - 10*time.Second, HasCameUp: true})
+	}
+	g.do(List{Kind: Patch, Members: cold})
+	g.run(10*time.Second, 200*ms, takes)
+	from, n := len(g.sends), 0
+	g.run(15*time.Second, 200*ms, takes)
+	for _, x := range g.sends[from:] {
+		if x.Server > 24 {
+			n++
+		}
+	}
+	if part := float64(n) / float64(len(g.sends)-from); part < 0.3 {
+		t.Errorf("%.2f of the sends went to cold servers twice as fast and more, which had room", part)
+	}
+}
+
+// Small requests do not keep a cold server from large ones: a request takes its units from a store
+// that may go into debt, and no request sets how much the store may hold.
+func TestSmallRequestsLeaveRoomAtColdServers(t *testing.T) {
+	s := fleet(80)
+	s.Cold = 40 * time.Second
+	var cold []Member
+	for id := uint32(1); id <= 30; id++ {
+		cold = append(cold, Member{Server: id, Zone: "z1", Size: 1, CameUp: time.Hour - 20*time.Second, HasCameUp: true})
+	}
+	g := newGate(t, s, cold...)
+	g.c.bound, g.c.idle, g.c.latency, g.c.seen, g.c.unitsMean = 4, 0.2, 0.2, 100, 2
+	large := map[string]bool{}
+	for i := 0; i < 200; i++ {
+		id, units := fmt.Sprint(i), 1.0
+		if i%4 == 0 {
+			units, large[id] = 6, true
+		}
+		g.do(Request{ID: id, Class: "job", Plan: "low", Customer: id, TTL: 5 * time.Second, Units: units, Spread: 2})
+		g.pass(100 * ms)
+		for n, x := range g.sends {
+			if _, ended := g.ends[x.ID]; !ended && n >= len(g.sends)-4 {
+				g.reply(x.ID, OK, 0)
+			}
+		}
+	}
+	n := 0
+	for _, x := range g.sends {
+		if large[x.ID] {
+			n++
+		}
+	}
+	if part := float64(n) / float64(len(g.sends)); part < 0.15 {
+		t.Errorf("%d of %d sends were large, a quarter was asked", n, len(g.sends))
+	}
+}
+
+// Whatever the group's size, all gateways together stay within what a cold server bears in any span
+// that counts, though it answers faster than the rest and each would have it to itself.
+func TestSumOfSendsToAColdServer(t *testing.T) {
+	const warmDoes = 12.0 // requests a second
+	for _, group := range []int{1, 3, 10, 40, 100, 300} {
+		s := fleet(group)
+		s.Cold, s.Fall = 16*time.Second, 1500*ms
+		gates := make([]*gate, group)
+		for i := range gates {
+			c, err := New(s, uint64(i+1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			gates[i] = &gate{t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{},
+				due: map[uint64]time.Duration{}}
+			gates[i].do(List{Kind: Stale, Members: on(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)})
+		}
+		type due struct {
+			at time.Duration
+			g  *gate
+			id string
+		}
+		var out []due
+		var at []time.Duration // of the sends to the cold server
+		told := make([]int, group)
+		up := time.Hour + 4*time.Second
+		asked := 0
+		for now := time.Hour; now < up+18*time.Second; now += 10 * ms {
+			if now == up {
+				for _, g := range gates {
+					g.do(List{Kind: Patch, Members: []Member{{Server: 99, Zone: "z1", Size: 1, CameUp: up, HasCameUp: true}}})
+				}
+			}
+			g := gates[asked*7%group] // 100 requests a second in all
+			g.ask(fmt.Sprint(asked), "job", "low", fmt.Sprint(asked))
+			asked++
+			kept := out[:0]
+			for _, o := range out {
+				if o.at <= now {
+					o.g.reply(o.id, OK, 0)
+				} else {
+					kept = append(kept, o)
+				}
+			}
+			out = kept
+			for i, g := range gates {
+				g.pass(now + 10*ms - g.now)
+				for ; told[i] < len(g.sends); told[i]++ {
+					took := 300 * ms
+					if g.sends[told[i]].Server == 99 {
+						took = 100 * ms
+						at = append(at, now)
+					}
+					out = append(out, due{now + took, g, g.sends[told[i]].ID})
+				}
+			}
+		}
+		for i, from := range at {
+			n, warmth := 0, 0.2+0.8*(from-up).Seconds()/16
+			for _, x := range at[i:] {
+				if x < from+s.Fall {
+					n++
+				}
+			}
+			if most := s.FallMultiple*warmth*warmDoes*s.Fall.Seconds() + 2; from+s.Fall <= up+s.Cold && float64(n) > most {
+				t.Errorf("%d gateways: %d sends to a cold server %v after its start, it bears %.1f", group, n, from-up, most)
+				break
+			}
+		}
+		if len(at) < 10 {
+			t.Errorf("%d gateways: %d sends to a cold server in 18 s", group, len(at))
+		}
+	}
+}
+
+// A gateway of many turns to a part of the cold servers, and uses its connections to them again: its
+// part of all that they bear is for few of them. Which ones goes by the key that all gateways know a
+// server by, so that each is home to as many.
+func TestFewOfTheColdServersAreHome(t *testing.T) {
+	s := fleet(300)
+	s.Cold = 40 * time.Second
+	homes := map[uint32]int{}
+	for i := 0; i < s.GroupSize; i += 7 {
+		s.SelfIndex = i
+		var cold []Member
+		for key := uint32(1); key <= 100; key++ { // each gateway has its own order
+			id := 1 + (key*37+uint32(i))%100
+			cold = append(cold, Member{Server: id, Key: key * 2654435761, Zone: "z1", Size: 1, CameUp: time.Hour - 4*time.Second, HasCameUp: true})
+		}
+		g := newGate(t, s, cold...)
+		for _, x := range g.c.order {
+			if x.home {
+				homes[x.Key]++
+			}
+		}
+		if i > 0 {
+			continue
+		}
+		g.c.bound, g.c.idle, g.c.latency, g.c.seen, g.c.unitsMean = 4, 0.1, 0.1, 100, 1
+		g.run(20*time.Second, 100*ms, func(uint32) time.Duration { return 100 * ms })
+		used := map[uint32]bool{}
+		for _, x := range g.sends {
+			used[x.Server] = true
+		}
+		if len(g.sends) < 40 || len(used) > len(g.sends)/2 {
+			t.Errorf("%d sends to cold servers went to %d of 100", len(g.sends), len(used))
+		}
+	}
+	want := float64((s.GroupSize+6)/7) * coldHomes * homeGateways / float64(s.GroupSize)
+	want = max(want, float64((s.GroupSize+6)/7)*coldHomes*homeServers/100)
+	for key, n := range homes {
+		if math.Abs(float64(n)-want) > 2 {
+			t.Errorf("server %d is home to %d of %d gateways, not %.1f", key, n, (s.GroupSize+6)/7, want)
+		}
+	}
+	if len(homes) != 100 {
+		t.Errorf("%d of 100 servers are home to some", len(homes))
+	}
+}
--- /dev/null
+++ b/control/gate_test.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gonum.org/v1/gonum/mat"
+)
+
+const ms = time.Millisecond
+
+// settings is a small deployment for tests: one free class, two plans.
+func settings() Settings {
+	return Settings{GroupSize: 2, Zone: "z1", SendCap: 3, RetryAfter: true, MaxRetryAfter: 2 * time.Second,
+		Cold: 10 * time.Second, ColdFrom: 0.2, Fall: time.Second, FallMultiple: 2, MeterPeriod: time.Second,
+		MayCancel: true,
+		Classes:   []Class{{Name: "job", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1}},
+		Plans: []Plan{{Name: "low", Price: 0.5, Rate: 1000, Depth: 1000},
+			{Name: "high", Price: 1.5, Rate: 1000, Depth: 1000}}}
+}
+
+// fleet is the settings of a group as large as the servers are many.
+func fleet(group int) Settings {
+	s := settings()
+	s.GroupSize = group
+	return s
+}
+
+// gate drives one controller by hand and keeps what it was told to do.
+type gate struct {
+	t     *testing.T
+	c     *Controller
+	now   time.Duration
+	sends []Send
+	ends  map[string]Action
+	n     map[string]int // attempts by request
+	due   map[uint64]time.Duration
+	acts  []Action
+}
+
+func newGate(t *testing.T, s Settings, servers ...Member) *gate {
+	t.Helper()
+	c, err := New(s, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gate{t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{},
+		due: map[uint64]time.Duration{}}
+	g.do(List{Kind: Stale, Members: servers})
+	return g
+}
+
+// do hands over one event and checks what holds for all actions.
+func (g *gate) do(e Event) []Action {
+	g.t.Helper()
+	acts := append([]Action{}, g.c.Handle(g.now, e)...)
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Send:
+			if g.ends[a.ID] != nil {
+				g.t.Fatalf("%s was sent after its end", a.ID)
+			}
+			g.n[a.ID]++
+			g.sends = append(g.sends, a)
+		case Refuse:
+			g.end(a.ID, a)
+		case Fail:
+			g.end(a.ID, a)
+		case Arm:
+			g.due[a.Label] = g.now + a.After
+		}
+	}
+	g.acts = append(g.acts, acts...)
+	return acts
+}
+
+func (g *gate) end(id string, a Action) {
+	g.t.Helper()
+	if g.ends[id] != nil {
+		g.t.Fatalf("%s has two final answers", id)
+	}
+	g.ends[id] = a
+}
+
+// pass lets time go by, with the timers that come due in it.
+func (g *gate) pass(d time.Duration) {
+	g.t.Helper()
+	for end := g.now + d; ; {
+		var label uint64
+		at := end + 1
+		for l, t := range g.due {
+			if t < at || t == at && l < label {
+				label, at = l, t
+			}
+		}
+		if at > end {
+			g.now = end
+			return
+		}
+		delete(g.due, label)
+		g.now = max(g.now, at)
+		g.do(Timer{Label: label})
+	}
+}
+
+func (g *gate) ask(id, class, plan, customer string) {
+	g.t.Helper()
+	g.do(Request{ID: id, Class: class, Plan: plan, Customer: customer, TTL: 5 * time.Second, Units: 1, Spread: 2})
+}
+
+// reply answers the latest send of a request.
+func (g *gate) reply(id string, why Reason, used int) {
+	g.t.Helper()
+	for i := len(g.sends) - 1; i >= 0; i-- {
+		if g.sends[i].ID == id {
+			g.do(Response{ID: id, N: g.n[id] - 1, Server: g.sends[i].Server, Reason: why, Done: why == OK, Used: used})
+			if why == OK {
+				g.ends[id] = Send{}
+			}
+			return
+		}
+	}
+	g.t.Fatalf("%s was never sent", id)
+}
+
+// run asks every gap for a time and answers each send after what its server takes.
+func (g *gate) run(d, gap time.Duration, takes func(server uint32) time.Duration) {
+	g.t.Helper()
+	type due struct {
+		at time.Duration
+		id string
+	}
+	var out []due
+	step, told := 10*ms, len(g.sends)
+	for i, end, next := 0, g.now+d, g.now; g.now < end || len(out) > 0; {
+		if g.now >= next && g.now < end {
+			g.ask(fmt.Sprintf("%d-%d", g.now, i), "job", "low", fmt.Sprint(i))
+			i, next = i+1, next+gap
+		}
+		for ; told < len(g.sends); told++ {
+			out = append(out, due{g.now + takes(g.sends[told].Server), g.sends[told].ID})
+		}
+		kept := out[:0]
+		for _, o := range out {
+			if o.at <= g.now {
+				g.reply(o.id, OK, 0)
+			} else {
+				kept = append(kept, o)
+			}
+		}
+		out = kept
+		g.pass(step)
+	}
+}
+
+// sentTo counts to which servers some requests go, each answered at once.
+func (g *gate) sentTo(n int) map[uint32]int {
+	got := map[uint32]int{}
+	for i := range n {
+		id := fmt.Sprint("to", g.now, i)
+		for _, a := range g.c.Handle(g.now, Request{ID: id, Class: "job", Plan: "high", Customer: id, TTL: 5 * time.Second, Units: 1, Spread: 1}) {
+			if s, ok := a.(Send); ok {
+				got[s.Server]++
+				g.now += 5 * ms
+				g.c.Handle(g.now, Response{ID: id, Server: s.Server, Reason: OK, Done: true})
+			}
+		}
+	}
+	return got
+}
+
+func on(ids ...uint32) []Member {
+	var m []Member
+	for i, id := range ids {
+		m = append(m, Member{Server: id, Zone: fmt.Sprintf("z%d", i%2+1), Cell: i / 2, Size: 1})
+	}
+	return m
+}
+
+func newPhi(u, y []float64) *mat.VecDense {
+	return mat.NewVecDense(len(u)+len(y), append(append([]float64{}, u...), y...))
+}
--- /dev/null
+++ b/control/homes_test.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// Each server has an even part of a large group that turns to it first; a change of the list moves
+// no other; a small group turns to all. A gateway then uses few servers, but leaves slow ones.
+func TestGatewaysTurnToTheirOwnServersFirst(t *testing.T) {
+	var ids []uint32
+	for id := uint32(1); id <= 60; id++ {
+		ids = append(ids, id)
+	}
+	homes := map[uint32]int{}
+	for i := 0; i < 80; i++ {
+		s := fleet(80)
+		s.SelfIndex = i
+		g := newGate(t, s, on(ids...)...)
+		zones, before := map[string]int{}, map[uint32]bool{}
+		for _, x := range g.c.order {
+			if before[x.Server] = g.c.home(x); before[x.Server] {
+				homes[x.Server]++
+				zones[x.Zone]++
+			}
+		}
+		if len(zones) < 2 {
+			t.Errorf("gateway %d turns to servers of one zone only", i)
+		}
+		g.do(List{Kind: Patch, Members: []Member{{Server: 7, Condition: Off}, {Server: 61, Zone: "z1"}}})
+		for _, x := range g.c.order {
+			if x.Server <= 60 && g.c.home(x) != before[x.Server] {
+				t.Errorf("gateway %d: server %d moved with the list", i, x.Server)
+			}
+		}
+	}
+	for id, n := range homes {
+		if math.Abs(float64(n)-homeGateways) > 2 {
+			t.Errorf("%d of 80 gateways turn to server %d first", n, id)
+		}
+	}
+	few := newGate(t, fleet(3), on(ids...)...)
+	for _, x := range few.c.order {
+		if !few.c.home(x) {
+			t.Error("a gateway of three turns to some servers only")
+			break
+		}
+	}
+	g := newGate(t, fleet(80), on(ids...)...)
+	slow, draw := map[uint32]bool{}, 0
+	g.run(20*time.Second, 150*ms, func(server uint32) time.Duration {
+		x := g.c.servers[server]
+		if g.c.home(x) && server%3 == 0 {
+			slow[server] = true
+			return 900 * ms
+		}
+		draw++
+		return time.Duration(60+draw*7919%500) * ms // whatever the server
+	})
+	n, own := 0, 0
+	for _, x := range g.sends[len(g.sends)/2:] {
+		if slow[x.Server] {
+			n++
+		}
+		if g.c.home(g.c.servers[x.Server]) {
+			own++
+		}
+	}
+	if own < len(g.sends)/4 {
+		t.Errorf("%d of the last %d sends went to its own eighth of the servers", own, len(g.sends)/2)
+	}
+	if n > len(g.sends)/20 {
+		t.Errorf("%d of the last %d sends went to slow servers of its own", n, len(g.sends)/2)
+	}
+}
+
+// However the keys of the servers lie, each gateway has as many warm ones that it turns to first: who
+// had two of them would jam these, and who had twelve would know little of any.
+func TestEachGatewayHasAsManyHomes(t *testing.T) {
+	var warm []Member
+	for id := uint32(1); id <= 168; id++ {
+		warm = append(warm, Member{Server: id, Key: id*id*2654435761 + id<<7, Zone: "z1", Size: 1})
+	}
+	for i := 0; i < 300; i += 11 {
+		s := fleet(300)
+		s.SelfIndex = i
+		n := 0
+		for _, x := range newGate(t, s, warm...).c.order {
+			if x.home {
+				n++
+			}
+		}
+		if n < homeServers-2 || n > homeServers+2 {
+			t.Errorf("gateway %d turns to %d servers first, not to %.0f", i, n, homeServers)
+		}
+	}
+}
+
+// An empty list, a list of one and one wholly replaced: each request has its final answer in time,
+// and the gateway serves again by itself.
+func TestListsThatAreOddAreLivedThrough(t *testing.T) {
+	g := newGate(t, fleet(80), on(1, 2, 3)...)
+	g.do(List{Kind: Whole})
+	g.ask("a", "job", "low", "x")
+	if len(g.sends) != 0 {
+		t.Fatal("sent to a server that is not listed")
+	}
+	g.pass(3 * time.Second)
+	if _, refused := g.ends["a"].(Refuse); !refused {
+		t.Errorf("with no server a request ends as %T", g.ends["a"])
+	}
+	g.do(List{Kind: Whole, Members: on(9)})
+	g.ask("b", "job", "low", "y")
+	if len(g.sends) != 1 || g.sends[0].Server != 9 {
+		t.Fatalf("with one server: %v", g.sends)
+	}
+	g.do(List{Kind: Whole, Members: on(11, 12)})
+	g.reply("b", OK, 0)
+	g.now += time.Second
+	g.ask("c", "job", "low", "z")
+	if len(g.sends) != 2 || g.sends[1].Server < 11 {
+		t.Errorf("after a list wholly replaced: %v", g.sends)
+	}
+	g.do(List{Kind: Broken})
+	g.reply("c", OK, 0)
+	g.now += time.Second
+	g.ask("d", "job", "low", "w")
+	if len(g.sends) != 3 {
+		t.Error("without news the last list is not used")
+	}
+}
+
+func TestListIsAskedForAgainAfterAFailure(t *testing.T) {
+	s := settings()
+	s.OnRequest, s.AskWithin = true, 10*time.Second
+	g := newGate(t, s, on(1)...)
+	follows := func() (n int) {
+		for _, a := range g.acts {
+			if f, ok := a.(Follow); ok && f.Active {
+				n++
+			}
+		}
+		return n
+	}
+	g.pass(200 * ms)
+	if follows() != 1 {
+		t.Fatalf("%d askings at start", follows())
+	}
+	g.do(List{Kind: Broken})
+	g.pass(5 * time.Second)
+	if follows() < 2 {
+		t.Error("no second asking after the first failed")
+	}
+	g.do(List{Kind: Whole, Members: on(1)})
+	n := follows()
+	g.pass(20 * time.Second)
+	if follows() != n {
+		t.Error("asked again while subscribed")
+	}
+}
--- /dev/null
+++ b/control/requests_test.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestUnknownClassOrPlanIsRefusedOnce(t *testing.T) {
+	g := newGate(t, settings(), on(1)...)
+	g.ask("a", "other", "low", "x")
+	g.ask("b", "job", "other", "x")
+	for _, id := range []string{"a", "b"} {
+		if _, ok := g.ends[id].(Refuse); !ok {
+			t.Errorf("%s ended with %v", id, g.ends[id])
+		}
+	}
+	g.do(Hangup{ID: "z"})
+	g.do(Response{ID: "z", Server: 9, Reason: OK})
+	g.do(Timer{Label: 999})
+	g.do(ProbeResult{Server: 77})
+	g.do(Counted{Name: 4})
+	g.do(PeerMessage{From: 1})
+	g.do(Started{ID: "z"})
+}
+
+func TestQueuedRequestsAreAnsweredInTime(t *testing.T) {
+	g := newGate(t, settings()) // no server at all
+	g.ask("a", "job", "low", "x")
+	g.pass(5 * time.Second)
+	r, ok := g.ends["a"].(Refuse)
+	if !ok || r.RetryAfter != time.Second {
+		t.Errorf("ended with %#v", g.ends["a"])
+	}
+}
+
+// Guards against a further attempt that waits beyond the client's time.
+func TestRequeuedRequestIsAnsweredInTime(t *testing.T) {
+	g := newGate(t, settings(), on(1)...)
+	g.ask("a", "job", "low", "x")
+	g.pass(4 * time.Second)
+	g.do(List{Kind: Whole})
+	g.reply("a", Errored, 0)
+	g.pass(990 * ms)
+	if g.ends["a"] != nil {
+		return
+	}
+	g.pass(10 * ms)
+	if g.ends["a"] == nil {
+		t.Error("no answer by the client's time")
+	}
+}
+
+// Clients that give a try up soon are served like others; a later try that can only be late is
+// still refused where the customer's use is not known.
+func TestHastyClientsAreNotTakenForLateOnes(t *testing.T) {
+	ask := func(g *gate, n int, ttl func(i int) time.Duration) (refused int) {
+		for i := range n {
+			id := fmt.Sprint("x", g.now, i)
+			g.do(Request{ID: id, Class: "job", Plan: "low", Customer: fmt.Sprint(i), TTL: ttl(i), Units: 1, Spread: 2})
+			if _, ok := g.ends[id].(Refuse); ok {
+				refused++
+			} else {
+				g.reply(id, OK, 0)
+			}
+			g.pass(10 * ms)
+		}
+		return refused
+	}
+	for _, k := range []struct {
+		name string
+		ttl  func(i int) time.Duration
+		most int
+		min  int
+	}{
+		{"one short time", func(int) time.Duration { return 300 * ms }, 4, 0},
+		{"what varying answers leave", func(i int) time.Duration { return time.Duration(3000-i*37) * ms }, 40, 40},
+		{"back when told to", func(i int) time.Duration { return 3*time.Second - time.Duration(5+i%2)*ms }, 40, 40},
+		{"back when told to after waiting for a turn", func(i int) time.Duration { return 2640 * ms }, 40, 40},
+	} {
+		s := settings()
+		s.MaxRetryAfter, s.Classes[0].Aim, s.Classes[0].Deadline = time.Second, 900*ms, 4*time.Second
+		g := newGate(t, s, on(1, 2)...)
+		ask(g, 40, func(int) time.Duration { return 3500 * ms })
+		if n := ask(g, 40, k.ttl); n > k.most || n < k.min {
+			t.Errorf("%s: %d of 40 were refused, want %d to %d", k.name, n, k.min, k.most)
+		}
+	}
+}
+
+// A try whose client leaves soon waits for a turn only as long as an answer could still be there in
+// its time: else it is refused at once, and takes neither units nor a place.
+func TestHastyTryDoesNotWaitForATurnInVain(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3)...)
+	g.run(10*time.Second, 300*ms, func(uint32) time.Duration { return 200 * ms })
+	ask := func(id string, ttl time.Duration) {
+		g.do(Request{ID: id, Class: "job", Plan: "low", Customer: id, TTL: ttl, Units: 1, Spread: 2})
+	}
+	const hasty = 300 * ms
+	for i := 0; i < 8; i++ { // by which such clients are known
+		id := fmt.Sprint(i)
+		ask(id, hasty)
+		if g.n[id] > 0 {
+			g.reply(id, OK, 0)
+		}
+	}
+	g.c.bound = 1
+	ask("out", 5*time.Second)
+	if g.n["out"] != 1 {
+		t.Fatalf("the bound has no room for one: %v", g.c.busyNow())
+	}
+	ask("hasty", hasty)
+	ask("patient", 5*time.Second)
+	g.pass(10 * ms)
+	if _, refused := g.ends["hasty"].(Refuse); !refused {
+		t.Errorf("a try with 300 ms left, where answers take 200 ms, ends as %T", g.ends["hasty"])
+	}
+	if g.ends["patient"] != nil {
+		t.Errorf("a try with 5 s left ends as %T without a wait", g.ends["patient"])
+	}
+	g.reply("out", OK, 0)
+	if g.n["patient"] != 1 || g.n["hasty"] != 0 {
+		t.Errorf("sent: patient %d, hasty %d", g.n["patient"], g.n["hasty"])
+	}
+}
--- /dev/null
+++ b/control/turns_test.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestTurnsFollowShares(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.c.plans[0].share, g.c.plans[1].share = 0.25, 0.75
+	for i := 0; i < 80; i++ {
+		g.ask(fmt.Sprint("l", i), "job", "low", "a")
+		g.ask(fmt.Sprint("h", i), "job", "high", "b")
+	}
+	for i := 0; i < 80; i++ { // keep the bound full
+		g.reply(g.sends[i].ID, OK, 0)
+	}
+	high := 0
+	for _, s := range g.sends[4:84] {
+		if s.ID[0] == 'h' {
+			high++
+		}
+	}
+	if high < 57 || high > 63 {
+		t.Errorf("%d of 80 turns went to the plan with three quarters of the share", high)
+	}
+}
+
+func TestAnEmptyQueuePassesItsTurn(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.c.plans[0].share, g.c.plans[1].share = 0, 1
+	g.ask("a", "job", "low", "x")
+	if len(g.sends) != 1 {
+		t.Errorf("%d sends for the only request", len(g.sends))
+	}
+}
+
+func TestBoundStartsAtTwiceTheServersAndHalvesOnce(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3)...)
+	for i := 0; i < 20; i++ {
+		g.ask(fmt.Sprint(i), "job", "low", "x")
+	}
+	if len(g.sends) != 6 {
+		t.Fatalf("%d in flight with three servers at start", len(g.sends))
+	}
+	g.c.bound = 40
+	for i := 0; i < 10; i++ { // time-outs and refusals, many in each interval
+		g.c.bad, g.c.answers = 5, 5
+		before := g.c.bound
+		g.c.endInterval(1)
+		if g.c.bound < before/2 {
+			t.Errorf("the bound went from %g to %g in one interval", before, g.c.bound)
+		}
+	}
+	if g.c.bound != 6 {
+		t.Errorf("the bound fell to %g, the part of two gateways of four a server is 6", g.c.bound)
+	}
+}
+
+// Guards against a few long requests that pin the bound to its floor.
+func TestOneTimeOutDoesNotCutTheBound(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2)...)
+	g.c.bound, g.c.bad, g.c.answers = 40, 1, 99
+	g.c.endInterval(1)
+	if g.c.bound < 40 {
+		t.Errorf("bound %g after one time-out in a hundred answers", g.c.bound)
+	}
+	g.c.bad, g.c.answers = 30, 70
+	g.c.endInterval(1)
+	if g.c.bound != 20 {
+		t.Errorf("bound %g after thirty in a hundred", g.c.bound)
+	}
+}
+
+// Guards against many gateways that jam the fleet by their floors alone.
+func TestFloorsOfALargeGroupAreShared(t *testing.T) {
+	s := settings()
+	s.GroupSize = 16
+	g := newGate(t, s, on(1, 2, 3, 4, 5, 6, 7, 8)...)
+	for i := 0; i < 50; i++ {
+		g.ask(fmt.Sprint(i), "job", "low", "x")
+	}
+	if per := float64(16*len(g.sends)) / 8; per > 8 {
+		t.Errorf("a group of 16 starts with %g requests in each server", per)
+	}
+}
+
+// However often the bound is cut, a group of the usual size keeps the cores of its servers busy:
+// each has three.
+func TestFloorKeepsAllCoresBusy(t *testing.T) {
+	for _, group := range []int{3, 4} {
+		s := settings()
+		s.GroupSize = group
+		g := newGate(t, s, on(1, 2, 3, 4, 5, 6, 7, 8, 9)...)
+		for range 10 {
+			g.c.bad, g.c.answers = 5, 5
+			g.c.endInterval(1)
+		}
+		if per := g.c.bound * float64(group) / 9; per < 3 {
+			t.Errorf("%d gateways keep %.1f requests in a server of three cores", group, per)
+		}
+	}
+}
+
+// What all gateways together have in flight at the start, and so the connections that they can open
+// at that moment, is bounded by the servers and not by the size of the group, but for one request
+// each; nobody probes or asks for lists beyond its watch.
+func TestSumOfSendsAtTheStart(t *testing.T) {
+	for _, group := range []int{1, 3, 20, 80, 300} {
+		for _, servers := range []int{1, 10, 60, 200} {
+			var ids []uint32
+			for id := uint32(1); id <= uint32(servers); id++ {
+				ids = append(ids, id)
+			}
+			sum := 0
+			for i := 0; i < group; i++ {
+				s := fleet(group)
+				s.SelfIndex, s.Probes, s.OnRequest = i, true, true
+				c, err := New(s, uint64(i))
+				if err != nil {
+					t.Fatal(err)
+				}
+				g := &gate{t: t, c: c, now: time.Hour, ends: map[string]Action{}, n: map[string]int{}, due: map[uint64]time.Duration{}}
+				g.do(List{Kind: Stale, Members: on(ids...)})
+				for j := 0; j < 3*servers+10; j++ {
+					g.ask(fmt.Sprint(j), "job", "low", fmt.Sprint(j))
+				}
+				sum += len(g.sends)
+				g.pass(time.Second)
+				asked := 0
+				for _, a := range g.acts {
+					switch a.(type) {
+					case Probe:
+						t.Fatalf("%d gateways, %d servers: a probe", group, servers)
+					case Follow, Snapshot:
+						asked++
+					}
+				}
+				if asked > 1 {
+					t.Fatalf("%d gateways, %d servers: the list is asked for %d times in a second", group, servers, asked)
+				}
+			}
+			if most := int(groupFirst)*servers + group; sum > most || sum == 0 {
+				t.Errorf("%d gateways, %d servers: %d in flight at the start, at most %d", group, servers, sum, most)
+			}
+		}
+	}
+}
