Put a file layer of its own under what a node keeps

The state folder and the log of agreement need the same small file system, so that one stand-in can fail as disks do under both. The package disk holds it: opening, writing at a place, truncating, allocating, syncing files and folders, and a file written whole by way of another beside it. A node's configuration names the one in use; nil is the machine's own. Nothing changes in what is done on it.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"martennotch/control"
+	"martennotch/internal/store/disk"
 	"martennotch/internal/wire"
 )
 
@@ -29,6 +30,7 @@
 	Settings                control.Settings
 	Keepalive, Connect      time.Duration // of connections to app servers
 	Fleet                   *Fleet        // what a fleet file switches on; nil is nothing
+	Disk                    disk.FS       // under what the node keeps; nil is the machine's own
 }
 
 // LoadConfig reads the JSON file at path.
--- a/internal/node/keeping.go
+++ b/internal/node/keeping.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +14,7 @@
 
 	"martennotch/control"
 	"martennotch/internal/store"
+	"martennotch/internal/store/disk"
 )
 
 // StateConfig switches on that what the node has learnt outlives its process.
@@ -35,6 +37,7 @@
 type keeping struct {
 	loop      *loop
 	set       *control.Settings
+	disk      disk.FS
 	dir, node string
 	discovery func() string
 	marks     *store.Marks
@@ -55,7 +58,7 @@
 	if most <= 0 {
 		most = marksMost
 	}
-	k := &keeping{loop: l, set: &cfg.Settings, dir: cfg.Fleet.State.Dir, node: cfg.Name, discovery: discovery,
+	k := &keeping{loop: l, set: &cfg.Settings, disk: cmp.Or[disk.FS](cfg.Disk, disk.Machine{}), dir: cfg.Fleet.State.Dir, node: cfg.Name, discovery: discovery,
 		marks: store.NewMarks(most), registry: prometheus.NewRegistry()}
 	counter := func(name, help string) prometheus.Counter {
 		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
@@ -88,7 +91,7 @@
 // open takes the folder and, unless another process has handed over what it knows, what is kept
 // there. It is called before the loop runs. False is that another process has the folder.
 func (k *keeping) open(n *Node, inherited bool) bool {
-	f, err := store.Open(k.dir, k.node)
+	f, err := store.Open(k.disk, k.dir, k.node)
 	if err != nil {
 		slog.Warn("state: not kept", "err", err)
 		return !errors.Is(err, store.ErrUsed)
@@ -121,7 +124,7 @@
 		case <-ctx.Done():
 			return
 		}
-		f, err := store.Open(k.dir, k.node)
+		f, err := store.Open(k.disk, k.dir, k.node)
 		if errors.Is(err, store.ErrUsed) {
 			continue
 		}
--- a/internal/node/keeping_test.go
+++ b/internal/node/keeping_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"martennotch/internal/store"
+	"martennotch/internal/store/disk"
 )
 
 // end stops a node and waits for its end.
@@ -107,7 +108,7 @@
 	}
 	b.wait("a state of its own", func() bool { return b.node.loop.keeping.writtenAt.Load() > 0 })
 	b.end()
-	f, err := store.Open(dir, "n0")
+	f, err := store.Open(disk.Machine{}, dir, "n0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/store/disk_test.go
+++ b/internal/store/disk_test.go
@@ -1,11 +1,16 @@
 package store
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"io/fs"
 	"maps"
+	"os"
 	"path/filepath"
 	"slices"
+
+	"martennotch/internal/store/disk"
 )
 
 // op is one step of a file layer that records.
@@ -18,6 +23,7 @@
 
 // recorder is a file layer in memory that remembers each step. Fail, where set, lets a step fail.
 type recorder struct {
+	disk.FS // what the store does without
 	ops     []op
 	names   map[string]int
 	files   [][]byte
@@ -53,16 +59,32 @@
 }
 
 type recorded struct {
-	r    *recorder
-	file int
+	disk.File // what the store does without
+	r         *recorder
+	file      int
+	left      io.Reader // of what it held when it was opened
 }
 
-func (r *recorder) Create(name string) (File, error) {
-	f := &recorded{r, len(r.files)}
-	if i, ok := r.names[name]; ok { // it is emptied, and stays the same file
-		f.file = i
+func (f *recorded) Read(b []byte) (int, error) { return f.left.Read(b) }
+
+func (f *recorded) Stat() (fs.FileInfo, error) { return plain{}, nil }
+
+type plain struct{ fs.FileInfo }
+
+func (plain) Mode() fs.FileMode { return 0 }
+
+func (r *recorder) OpenFile(name string, flag int) (disk.File, error) {
+	i, ok := r.names[name]
+	if flag&os.O_CREATE == 0 {
+		if !ok {
+			return nil, fs.ErrNotExist
+		}
+		return &recorded{r: r, file: i, left: bytes.NewReader(r.files[i])}, nil
+	}
+	if !ok { // else it is emptied, and stays the same file
+		i = len(r.files)
 	}
-	return f, r.do(op{kind: "create", name: name, file: f.file})
+	return &recorded{r: r, file: i}, r.do(op{kind: "create", name: name, file: i})
 }
 
 func (f *recorded) Write(b []byte) (int, error) {
@@ -87,14 +109,6 @@
 	return names, nil
 }
 
-func (r *recorder) Read(name string, _ int64) ([]byte, error) {
-	i, ok := r.names[name]
-	if !ok {
-		return nil, fs.ErrNotExist
-	}
-	return r.files[i], nil
-}
-
 // crashes calls each with every disk that a crash after some steps may leave: of the changes of
 // names since the folder was synced any subset in their order, of each file what was synced and
 // of the rest all, nothing, a torn part or rubbish.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,6 +18,8 @@
 	"syscall"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"martennotch/internal/store/disk"
 )
 
 const (
@@ -29,7 +31,6 @@
 	BytesMost = 8 << 20
 
 	stateName  = "state"
-	newName    = "state.new"
 	lockName   = "lock"
 	asideName  = "state.bad-" // and a number
 	asideMost  = 2            // states put aside that are kept
@@ -123,7 +124,7 @@
 
 // Folder is a folder that one process of one node uses at a time.
 type Folder struct {
-	fs   FS
+	fs   disk.FS
 	dir  string
 	node string
 	lock *os.File // nil where the file layer is a test's
@@ -132,8 +133,9 @@
 // ErrUsed tells that another process has the folder.
 var ErrUsed = errors.New("another process uses it")
 
-// Open takes a folder, which is made where there is none. It waits for nobody.
-func Open(dir, node string) (*Folder, error) {
+// Open takes a folder of a file system, which is made where there is none. It waits for no other
+// process. The lock is the machine's own: a disk that fails must not let two processes in.
+func Open(d disk.FS, dir, node string) (*Folder, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("state folder: %w", err)
 	}
@@ -148,7 +150,7 @@
 		}
 		return nil, fmt.Errorf("state folder %s: %w", dir, err)
 	}
-	return &Folder{fs: Disk{}, dir: dir, node: node, lock: lock}, nil
+	return &Folder{fs: d, dir: dir, node: node, lock: lock}, nil
 }
 
 // Close lets another process use the folder.
@@ -164,7 +166,7 @@
 // Read gives the last state that came to the disk; nil is none. One that is of no use is put aside
 // and why tells the reason; the folder can be written to all the same.
 func (f *Folder) Read() (s *State, why error) {
-	raw, err := f.fs.Read(f.path(stateName), BytesMost)
+	raw, err := disk.ReadFile(f.fs, f.path(stateName), BytesMost)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -215,19 +217,5 @@
 	if err != nil {
 		return 0, err
 	}
-	to, err := f.fs.Create(f.path(newName))
-	if err != nil {
-		return 0, err
-	}
-	_, err = to.Write(raw)
-	if err == nil {
-		err = to.Sync()
-	}
-	if err = errors.Join(err, to.Close()); err != nil {
-		return 0, err
-	}
-	if err := f.fs.Rename(f.path(newName), f.path(stateName)); err != nil {
-		return 0, err
-	}
-	return len(raw), f.fs.SyncDir(f.dir)
+	return len(raw), disk.WriteFile(f.fs, f.path(stateName), raw)
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -10,6 +10,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"martennotch/internal/store/disk"
 )
 
 // The same draws in each run, so that the verdict is the same; -rapid.seed gives others.
@@ -116,12 +118,12 @@
 // spoilt at most, and can be written to.
 func TestBadFolders(t *testing.T) {
 	dir := t.TempDir()
-	f, err := Open(dir, "n1")
+	f, err := Open(disk.Machine{}, dir, "n1")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	if _, err := Open(dir, "n1"); !errors.Is(err, ErrUsed) {
+	if _, err := Open(disk.Machine{}, dir, "n1"); !errors.Is(err, ErrUsed) {
 		t.Errorf("a second process: %v", err)
 	}
 	for i, spoil := range []func() error{
@@ -226,7 +228,7 @@
 func BenchmarkWrite(b *testing.B) {
 	for _, n := range []int{1000, 10000, 100000} {
 		b.Run(fmt.Sprint(n, " customers"), func(b *testing.B) {
-			f, err := Open(b.TempDir(), "n1")
+			f, err := Open(disk.Machine{}, b.TempDir(), "n1")
 			if err != nil {
 				b.Fatal(err)
 			}
