--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -32,6 +32,9 @@
 	return distuv.LogNormal{Mu: -s2 / 2, Sigma: math.Sqrt(s2), Src: rng}
 }
 
+// MeanWork is what a request takes on one core of speed 1, in the mean of all classes.
+func (d *Day) MeanWork() time.Duration { return spanMS(d.meanWork()) }
+
 func (d *Day) meanWork() float64 {
 	mean := 0.0
 	for _, c := range d.Classes {
