--- a/fleet/rules/registry_test.go
+++ b/fleet/rules/registry_test.go
@@ -170,3 +170,38 @@
 		}
 	})
 }
+
+func FuzzMessage(f *testing.F) {
+	word := Word{Step: 3, Now: Name{Number: 1}, Next: Name{Number: 2}, Kind: Exclusive}
+	for _, m := range []Message{{From: 1, Life: 5, Tell: &word}, {From: 1, Life: 5, Ack: 3, Ask: &Ask{Seq: 1, Fresh: true}},
+		{From: 1, Life: 5, Grant: &Grant{Life: 9, Seq: 1, Step: 3, Length: 1e6, Word: &word}}} {
+		raw, err := m.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := Decode(raw, 4)
+		if err != nil {
+			return
+		}
+		for _, leads := range []bool{false, true} {
+			n := NewNode(Config{Self: 0, Life: 9, Terms: Usual}, 0)
+			n.Parents(0, []int{1})
+			if leads {
+				n.Lead(0)
+			}
+			n.Flush(0)
+			n.Hear(1, m)
+			if _, until, _ := n.Acting(1); until > Usual.Lease {
+				t.Fatalf("a lease until %v", until)
+			}
+			for _, o := range n.Flush(1) {
+				if _, err := o.Message.Encode(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
