Count uses that waited out a cut as of when they were sent

The membership declares the other side dead only in the last second of the cut (578 of 578 deaths), so until then both sides keep their uses for owners that they can't reach, and all of them arrive in the first 50 ms after: the store is emptied by 8 s of uses at once, though their refill had found it full. Ruled out before: what a follower's store hands back and what a told store is charged. At fault were counted and Take, which took a use as of its arrival.

A message now says how long its oldest use waited, in a field that older nodes skip; from 1 s on the owner takes such uses off the refill that found the store full in that time (kept for 16 s by half seconds) before it takes them off the store, and a follower's store likewise. TestLateUsesCountAsOfThen fails without it.

--- a/fleet/share/customer.go
+++ b/fleet/share/customer.go
@@ -79,6 +79,7 @@
 		level = lowPart * e.quota.Depth
 	}
 	e.store = NewStore(e.quota, level, now)
+	e.store.made = now
 	e.store.guessed = e.moved && now < e.movedAt+beatFor
 	x.owned[e.key] = e
 	return e.store
@@ -138,17 +139,17 @@
 	}
 	e.view.Take(units)
 	if correction {
-		x.tell(e, units, now, now+lazy)
+		x.tell(e, units, now, now, now+lazy)
 		return
 	}
-	x.tell(e, units, now, now+batch)
+	x.tell(e, units, now, now, now+batch)
 }
 
-// tell has a use counted by its owner.
-func (x *Exchange) tell(e *entry, units float64, now, by time.Duration) {
+// tell has a use, which is to be told since a time, counted by its owner.
+func (x *Exchange) tell(e *entry, units float64, since, now, by time.Duration) {
 	owner := x.ownerOf(e, now)
 	if owner == x.cfg.Self {
-		x.count(e, units, now)
+		x.count(e, units, now-since, now)
 		return
 	}
 	if owner < 0 {
@@ -158,15 +159,16 @@
 	l := x.dueBy(owner, by)
 	u := l.pending[e.key]
 	if u == nil {
-		u = &Use{Customer: e.key, Plan: e.plan, First: e.set.First, Spread: e.set.Spread}
+		u = &untold{Use{Customer: e.key, Plan: e.plan, First: e.set.First, Spread: e.set.Spread}, since}
 		l.pending[e.key] = u
 	}
-	u.Units += float32(units)
+	u.Units, u.since = u.Units+float32(units), min(u.since, since)
 }
 
-// count takes a use from the store held here, and has the others told where that is due.
-func (x *Exchange) count(e *entry, units float64, now time.Duration) {
-	x.store(e, now).Take(units, now)
+// count takes a use that waited so long from the store held here, and has the others told where that
+// is due.
+func (x *Exchange) count(e *entry, units float64, waited, now time.Duration) {
+	x.store(e, now).TakeLate(units, waited, now)
 	if x.beatAt == 0 || x.lastUse+beatFor < now {
 		x.beatAt = now + batch
 	}
--- a/fleet/share/exchange.go
+++ b/fleet/share/exchange.go
@@ -107,7 +107,7 @@
 // Live takes the other nodes that are live. Stores whose owner is another now go to it, and so do
 // the uses that the owner before has not said to have counted.
 func (x *Exchange) Live(now time.Duration, others []Node) {
-	var lost []*Use
+	var lost []untold
 	x.settle(now, others)
 	for _, node := range slices.Sorted(maps.Keys(x.links)) {
 		l := x.links[node]
@@ -127,7 +127,7 @@
 	for _, u := range lost {
 		e := x.meet(u.Customer, u.Plan, Set{u.First, u.Spread}, now)
 		if e != nil {
-			x.tell(e, float64(u.Units), now, now+batch)
+			x.tell(e, float64(u.Units), u.since, now, now+batch)
 		}
 	}
 }
@@ -176,6 +176,9 @@
 func (x *Exchange) hand(e *entry, now time.Duration) {
 	l := x.dueBy(e.owner, now)
 	l.hands = append(l.hands, Hand{Customer: e.key, Plan: e.plan, First: e.set.First, Spread: e.set.Spread, Level: float32(e.store.Level(now)), Taken: float32(math.Min(unitsMost, e.store.taken)), Guessed: e.store.guessed})
+	if e.store.guessed && (l.made == 0 || e.store.made < l.made) {
+		l.made = e.store.made
+	}
 	x.Counts.Handed++
 	e.view.Hear(e.store.Level(now), now)
 	e.store = nil
--- a/fleet/share/flush.go
+++ b/fleet/share/flush.go
@@ -24,6 +24,7 @@
 			x.Counts.Resent++
 			l.flewAt = now
 			again := *l.flying
+			again.UseAge = millis(now - l.since)
 			out = append(out, x.stamp(node, &again, now))
 		}
 		if l.due >= 0 && l.due <= now {
@@ -57,16 +58,25 @@
 	if l.flying == nil && len(l.pending)+len(l.hands) > 0 {
 		x.seq++
 		m.Seq = x.seq
+		since := now
 		n := min(len(l.hands), usesMost-ackedMost)
 		m.Hands, l.hands = l.hands[:n:n], l.hands[n:]
 		for _, key := range slices.Sorted(maps.Keys(l.pending)) {
 			if len(m.Uses)+n >= usesMost {
 				break
 			}
-			m.Uses = append(m.Uses, *l.pending[key])
+			u := l.pending[key]
+			m.Uses, since = append(m.Uses, u.Use), min(since, u.since)
 			delete(l.pending, key)
 		}
-		l.flying, l.flewAt = &Message{Seq: m.Seq, Uses: m.Uses, Hands: m.Hands}, now
+		m.UseAge = millis(now - since)
+		if l.made > 0 {
+			m.HandAge = millis(now - l.made)
+		}
+		if len(l.hands) == 0 {
+			l.made = 0
+		}
+		l.flying, l.flewAt, l.since = &Message{Seq: m.Seq, Uses: m.Uses, Hands: m.Hands, HandAge: m.HandAge}, now, since
 		if len(l.pending)+len(l.hands) > 0 {
 			x.dueBy(node, now+batch)
 		}
@@ -74,6 +84,11 @@
 	return append(out, x.stamp(node, m, now))
 }
 
+// millis gives a span as messages have it.
+func millis(span time.Duration) uint32 {
+	return uint32(max(0, min(ageMost, span.Milliseconds())))
+}
+
 // beat tells, as an owner, the stores that are due and that all others are not low.
 func (x *Exchange) beat(now time.Duration, out []Out) []Out {
 	if x.left {
--- a/fleet/share/hear.go
+++ b/fleet/share/hear.go
@@ -47,9 +47,10 @@
 			continue
 		}
 		x.Counts.Taken++
-		x.store(e, now).Merge(float64(h.Level), float64(h.Taken), h.Guessed, now) // the refill on its way is left out
-		x.count(e, 0, now)
+		x.store(e, now).Merge(float64(h.Level), float64(h.Taken), h.Guessed, time.Duration(m.HandAge)*time.Millisecond, now) // the refill on its way is left out
+		x.count(e, 0, 0, now)
 	}
+	waited := time.Duration(m.UseAge) * time.Millisecond
 	for _, u := range m.Uses {
 		e := x.meet(u.Customer, u.Plan, Set{u.First, u.Spread}, now)
 		if e == nil {
@@ -57,12 +58,12 @@
 		}
 		if x.ownerOf(e, now) != x.cfg.Self {
 			if fresh { // the other does not know of the change yet
-				x.tell(e, float64(u.Units), now, now+batch)
+				x.tell(e, float64(u.Units), now-waited, now, now+batch)
 			}
 			continue
 		}
 		if fresh {
-			x.count(e, float64(u.Units), now)
+			x.count(e, float64(u.Units), waited, now)
 		}
 		l.levels[e.key] = e
 	}
--- a/fleet/share/link.go
+++ b/fleet/share/link.go
@@ -17,19 +17,27 @@
 	spoken   bool
 
 	due     time.Duration // when something is to be sent; below zero is nothing
-	pending map[uint64]*Use
+	pending map[uint64]*untold
 	hands   []Hand
-	flying  *Message // with uses that are not known to be counted
+	made    time.Duration // of the oldest of hands that is of a store made to follow an owner unheard
+	flying  *Message      // with uses that are not known to be counted
 	flewAt  time.Duration
-	counted uint32 // of theirs, last
+	since   time.Duration // of the oldest use in it
+	counted uint32        // of theirs, last
 	ack     bool
 	levels  map[uint64]*entry // whose level goes with the word that they were counted
 }
 
+// untold is a use that has not been told, and since when it waits.
+type untold struct {
+	Use
+	since time.Duration
+}
+
 func (x *Exchange) link(node int) *link {
 	l := x.links[node]
 	if l == nil {
-		l = &link{number: x.numbers[node], life: x.lives[node], due: -1, pending: make(map[uint64]*Use), levels: make(map[uint64]*entry)}
+		l = &link{number: x.numbers[node], life: x.lives[node], due: -1, pending: make(map[uint64]*untold), levels: make(map[uint64]*entry)}
 		x.links[node] = l
 	}
 	return l
@@ -47,14 +55,14 @@
 }
 
 // unsaid gives the uses that the other side has not said to have counted.
-func (l *link) unsaid() (uses []*Use) {
+func (l *link) unsaid() (uses []untold) {
 	if l.flying != nil {
-		for i := range l.flying.Uses {
-			uses = append(uses, &l.flying.Uses[i])
+		for _, u := range l.flying.Uses {
+			uses = append(uses, untold{u, l.since})
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(l.pending)) {
-		uses = append(uses, l.pending[key])
+		uses = append(uses, *l.pending[key])
 	}
 	return uses
 }
--- a/fleet/share/message.go
+++ b/fleet/share/message.go
@@ -39,6 +39,10 @@
 	Levels  []Level  `cbor:"12,keyasint,omitempty"`
 	Owners  []Told   `cbor:"13,keyasint,omitempty"`
 	Charges []Charge `cbor:"14,keyasint,omitempty"`
+	// For how long the oldest of Uses has waited to be told, and since when the oldest of Hands that
+	// followed an owner unheard was kept, in ms.
+	UseAge  uint32 `cbor:"15,keyasint,omitempty"`
+	HandAge uint32 `cbor:"16,keyasint,omitempty"`
 }
 
 // Use is the units that one node has sent on for a customer since it told its owner last; below
--- a/fleet/share/share.go
+++ b/fleet/share/share.go
@@ -37,6 +37,8 @@
 	at       time.Duration
 	taken    float64 // since it was made here
 	guessed  bool    // its first level was not told by the owner before
+	made     time.Duration
+	spilt    spill
 	told     float64 // the level that was told last
 	toldAt   time.Duration
 	toldOnce bool
@@ -52,26 +54,95 @@
 
 // Take takes units that were sent on, or gives them back where they are below zero. What the store
 // does not hold went beyond the quota and leaves no debt: the platform takes it from nobody.
-func (s *Store) Take(units float64, now time.Duration) {
-	s.set(s.Level(now)-units, now)
+func (s *Store) Take(units float64, now time.Duration) { s.TakeLate(units, 0, now) }
+
+// TakeLate takes units that were sent on up to so long ago, and of which nobody told until now: after
+// a cut, or as their owner died. Had they been taken when they were sent, less of the refill since
+// then would have found the store full; so they come off that first. Guards against stores that are
+// empty by the uses of a whole cut at the moment in which it is over.
+func (s *Store) TakeLate(units float64, waited, now time.Duration) {
+	s.advance(now)
 	s.taken += units
+	if waited >= lateFrom && units > 0 {
+		units -= s.spilt.absorb(units, waited, now)
+	}
+	s.set(s.level-units, now)
+}
+
+// advance brings the store up to now, and remembers what of the refill found it full.
+func (s *Store) advance(now time.Duration) {
+	if now <= s.at {
+		return
+	}
+	if over := s.level + s.Rate*(now-s.at).Seconds() - s.Depth; over > 0 && s.Rate > 0 {
+		s.spilt.add(over, s.Rate, now)
+	}
+	s.set(s.Level(now), now)
 }
 
 func (s *Store) set(level float64, now time.Duration) {
 	s.level, s.at = math.Max(0, math.Min(s.Depth, level)), now
 }
 
+const (
+	lateFrom   = Life // waited, from which a use counts as of then
+	spillWidth = 500 * time.Millisecond
+	spillBins  = 32 // 16 s: twice what the membership takes to see that a node of sixty is gone
+)
+
+// spill is the refill that found a store full, by when.
+type spill struct {
+	bins [spillBins]float32
+	last int64 // bin up to which it is kept
+}
+
+// roll forgets the bins that now are others'.
+func (p *spill) roll(now time.Duration) int64 {
+	b := int64(now / spillWidth)
+	for i := max(p.last+1, b-spillBins+1); i <= b; i++ {
+		p.bins[i%spillBins] = 0
+	}
+	p.last = max(p.last, b)
+	return b
+}
+
+// add takes a refill that was lost at a rate up to now.
+func (p *spill) add(units, rate float64, now time.Duration) {
+	b := p.roll(now)
+	from := now - time.Duration(units/rate*float64(time.Second))
+	for i := max(0, b-spillBins+1, int64(from/spillWidth)); i <= b; i++ {
+		begin, end := max(from, time.Duration(i)*spillWidth), min(now, time.Duration(i+1)*spillWidth)
+		p.bins[i%spillBins] += float32(rate * (end - begin).Seconds())
+	}
+}
+
+// absorb gives, up to so many units, the refill lost in so long, which is lost no more.
+func (p *spill) absorb(units float64, span, now time.Duration) float64 {
+	left := units
+	b := p.roll(now)
+	for i := max(0, b-spillBins+1, int64((now-span)/spillWidth)); i <= b && left > 0; i++ {
+		take := math.Min(left, float64(p.bins[i%spillBins]))
+		p.bins[i%spillBins] -= float32(take)
+		left -= take
+	}
+	return units - math.Max(0, left)
+}
+
 // Merge takes over the store of another that held it. Where this one was made to follow it, the
 // other's level stands, less what was taken here since. Where the other was made to follow this one,
-// which was not heard but there, as on a side of a partition, what was taken there is gone here too.
-// Of two that are neither the lower counts.
-func (s *Store) Merge(level, taken float64, guessed bool, now time.Duration) {
+// which was not heard but there, as on a side of a partition, what was taken there in that time is gone
+// here too. Of two that are neither the lower counts.
+func (s *Store) Merge(level, taken float64, guessed bool, since, now time.Duration) {
+	s.advance(now)
 	switch {
 	case s.guessed && !guessed:
 		s.guessed = false
 		s.set(level-s.taken, now)
 	case !s.guessed && guessed:
-		s.set(math.Min(s.Level(now)-taken, level), now)
+		if since >= lateFrom {
+			taken -= s.spilt.absorb(taken, since, now)
+		}
+		s.set(math.Min(s.level-taken, level), now)
 	default:
 		s.set(math.Min(s.Level(now), level), now)
 	}
--- a/fleet/share/share_test.go
+++ b/fleet/share/share_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 )
 
@@ -82,6 +83,44 @@
 	})
 }
 
+// Uses that come after a cut leave the store as if each had come when it was sent, to half a second of
+// refill, as long as it was never empty; and a follower's store that is merged does.
+func TestLateUsesCountAsOfThen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := Quota{rapid.Float64Range(1, 20).Draw(t, "rate"), rapid.Float64Range(5, 100).Draw(t, "depth")}
+		want, late, merged := NewStore(q, q.Depth, 0), NewStore(q, q.Depth, 0), NewStore(q, q.Depth, 0)
+		type use struct {
+			units float64
+			at    time.Duration
+		}
+		var far []use
+		now, sum := time.Duration(0), 0.0
+		for now < 8*time.Second {
+			now += time.Duration(rapid.IntRange(10, 900).Draw(t, "pause")) * time.Millisecond
+			units := rapid.Float64Range(0, 4).Draw(t, "units")
+			if want.Level(now) < units {
+				continue
+			}
+			want.Take(units, now)
+			if rapid.Bool().Draw(t, "far") {
+				far, sum = append(far, use{units, now}), sum+units
+				continue
+			}
+			late.Take(units, now)
+			merged.Take(units, now)
+		}
+		now += lateFrom
+		for _, i := range rapid.Permutation(indices(len(far))).Draw(t, "order") {
+			late.TakeLate(far[i].units, now-far[i].at, now)
+		}
+		least := want.Level(now) - 1e-3 // bins are single floats
+		assert.InDelta(t, late.Level(now), least, q.Rate*spillWidth.Seconds()*1.001+2e-3)
+		assert.GreaterOrEqual(t, late.Level(now), least)
+		merged.Merge(q.Depth, sum, true, now, now)
+		assert.GreaterOrEqual(t, merged.Level(now), least)
+	})
+}
+
 // Whatever the order in which levels are heard, and however often, the view is the same: the newest,
 // of two of one time the lower; and it is used for Life and no longer.
 func TestViewsMerge(t *testing.T) {
@@ -145,7 +184,7 @@
 		case there && !here:
 			want = math.Min(b, math.Max(0, math.Max(0, a-3)-5))
 		}
-		if s.Merge(b, 5, there, 0); math.Abs(s.Level(0)-want) > 1e-9 {
+		if s.Merge(b, 5, there, 0, 0); math.Abs(s.Level(0)-want) > 1e-9 {
 			t.Fatalf("%g less 3 (guessed: %v) and %g after 5 (guessed: %v) come to %g, wanted %g", a, here, b, there, s.Level(0), want)
 		}
 	})
@@ -206,3 +245,11 @@
 		}
 	})
 }
+
+func indices(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
