Give configuration, fleet file, sockets and console errors types that say what to do

An operator who met an error was told what failed but not what to do, and a caller could only read its text. Configuration, environment, fleet file, listening and serving, a module's panic and the console's refusals now have types of their own, found by errors.As: one line with what failed, where, and after a semicolon what to do. The fleet file's errors name the line also where a value is of the wrong kind; a panic's stack is a log line of its own, so that the end stays one line.

--- a/cmd/lockflow/main.go
+++ b/cmd/lockflow/main.go
@@ -63,7 +63,7 @@
 func run(ctx context.Context, hup <-chan os.Signal, fleet string) error {
 	path := os.Getenv("NODE_CONFIG")
 	if path == "" {
-		return errors.New("NODE_CONFIG names no configuration file")
+		return &node.EnvironmentError{Variable: "NODE_CONFIG", Err: errors.New("it names no configuration file")}
 	}
 	cfg, err := load(path, fleet)
 	if err != nil {
--- a/fleet/rules/errors.go
+++ b/fleet/rules/errors.go
@@ -1,6 +1,10 @@
 package rules
 
-import "fmt"
+import (
+	"fmt"
+
+	"martennotch/internal/oneline"
+)
 
 // TooLargeError tells of something beyond the bytes or the number that it may have.
 type TooLargeError struct {
@@ -105,7 +109,7 @@
 }
 
 func (e *SpoiltError) Error() string {
-	return fmt.Sprintf("%s: %v; drop it, and look for a node of another version or a faulty disk if it comes again", e.What, e.Reason)
+	return fmt.Sprintf("%s: %s; drop it, and look for a node of another version or a faulty disk if it comes again", e.What, oneline.Of(e.Reason))
 }
 
 func (e *SpoiltError) Unwrap() error { return e.Reason }
--- a/fleet/zone/zone.go
+++ b/fleet/zone/zone.go
@@ -69,12 +69,19 @@
 
 func (o Order) String() string { return orders[o] }
 
-// ParseOrder reads an order by its name.
+// OrderError is a word that is no order.
+type OrderError struct{ Order string }
+
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("zones: no order %q; give one of leave, hold, return and none", e.Order)
+}
+
+// ParseOrder reads an order by its name. Its error is an OrderError.
 func ParseOrder(name string) (Order, error) {
 	if i := slices.Index(orders[:], name); i >= 0 {
 		return Order(i), nil
 	}
-	return None, fmt.Errorf("order %q is none of leave, hold, return and none", name)
+	return None, &OrderError{name}
 }
 
 // Zone is what is known of one zone.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -19,6 +20,7 @@
 
 // Config is what an edge node is started with.
 type Config struct {
+	File                    string // that it was read from
 	Name, Listen, Discovery string
 	Console                 string // where operators call; "" is nowhere
 	SocketFD                int    // of the clients' listening socket where it is inherited; 0 is none
@@ -33,20 +35,22 @@
 	Disk                    disk.FS       // under what the node keeps; nil is the machine's own
 }
 
-// LoadConfig reads the JSON file at path.
+// LoadConfig reads the JSON file at path. Its error is a ConfigError.
 func LoadConfig(path string) (Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("reading the configuration: %w", err)
+		return Config{}, &ConfigError{File: path, Err: err}
 	}
-	c, err := parseConfig(raw)
+	c, key, err := parseConfig(raw)
 	if err != nil {
-		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+		return Config{}, &ConfigError{path, key, err}
 	}
+	c.File = path
 	return c, nil
 }
 
-func parseConfig(raw []byte) (Config, error) {
+// parseConfig reads a configuration; key is the one that err speaks of.
+func parseConfig(raw []byte) (c Config, key string, err error) {
 	var file struct {
 		Name, Listen, Discovery, Console, Seed string
 		Limits                                 struct {
@@ -58,37 +62,38 @@
 		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(raw, &file); err != nil {
-		return Config{}, err
+		return c, "", err
 	}
-	c := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Console: file.Console, Known: file.Known,
+	c = Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Console: file.Console, Known: file.Known,
 		Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}
 	if c.Listen == "" || c.Discovery == "" {
-		return c, fmt.Errorf("listen and discovery must both be given")
+		return c, "listen and discovery", errors.New("both must be given")
 	}
-	if err := c.checkAddresses(); err != nil {
-		return c, err
+	if key, err := c.checkAddresses(); err != nil {
+		return c, key, err
 	}
-	var err error
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-		return c, fmt.Errorf("seed: %w", err)
+		return c, "seed", err
 	}
 	if err := c.Known.check(); err != nil {
-		return c, fmt.Errorf("known: %w", err)
+		return c, "known", err
 	}
 	paths, err := flatten(file.Settings)
 	if err != nil {
-		return c, fmt.Errorf("settings: %w", err)
+		return c, "settings", err
 	}
 	if c.Settings, err = wire.Settings(paths); err != nil {
-		return c, fmt.Errorf("settings: %w", err)
+		return c, "settings", err
 	}
 	c.Settings.Customers = customersIn(c.MemoryMB)
 	c.Settings.OnRequest = false // on sockets a watch is always kept; nothing has to be asked for
 	if c.Keepalive, err = millis(paths, "limits.keepalive", 15*time.Second); err != nil {
-		return c, err
+		return c, "settings.limits.keepalive", err
 	}
-	c.Connect, err = millis(paths, "limits.connect-timeout", 250*time.Millisecond)
-	return c, err
+	if c.Connect, err = millis(paths, "limits.connect-timeout", 250*time.Millisecond); err != nil {
+		return c, "settings.limits.connect-timeout", err
+	}
+	return c, "", nil
 }
 
 const (
@@ -102,34 +107,44 @@
 }
 
 // checkAddresses names the first address that is none.
-func (c *Config) checkAddresses() error {
+func (c *Config) checkAddresses() (key string, err error) {
 	addrs := []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"console", c.Console}}
 	for _, a := range addrs {
 		if a.name == "console" && a.addr == "" {
 			continue
 		}
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			return fmt.Errorf("%s: %w", a.name, err)
+			return a.name, err
 		}
 	}
-	return nil
+	return "", nil
 }
 
-// FromEnvironment takes over what the environment names; it goes before the file.
+// FromEnvironment takes over what the environment names; it goes before the file. Its error is an
+// EnvironmentError.
 func (c *Config) FromEnvironment(lookup func(string) string) error {
-	for name, field := range map[string]*string{"NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery, "NODE_CONSOLE": &c.Console, "TMPDIR": &c.Dir} {
-		if v := lookup(name); v != "" {
-			*field = v
+	if v := lookup("TMPDIR"); v != "" {
+		c.Dir = v
+	}
+	for _, a := range []struct {
+		name  string
+		field *string
+	}{{"NODE_LISTEN", &c.Listen}, {"NODE_DISCOVERY", &c.Discovery}, {"NODE_CONSOLE", &c.Console}} {
+		if v := lookup(a.name); v != "" {
+			*a.field = v
+			if _, _, err := net.SplitHostPort(v); err != nil {
+				return &EnvironmentError{a.name, err}
+			}
 		}
 	}
 	if v := lookup("NODE_SOCKET_FD"); v != "" {
 		fd, err := strconv.Atoi(v)
 		if err != nil || fd <= 2 {
-			return fmt.Errorf("NODE_SOCKET_FD: %q is no descriptor", v)
+			return &EnvironmentError{"NODE_SOCKET_FD", fmt.Errorf("%q is no descriptor", v)}
 		}
 		c.SocketFD = fd
 	}
-	return c.checkAddresses()
+	return nil
 }
 
 // millis reads a span of the settings that is the node's own business.
@@ -140,7 +155,7 @@
 	}
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(v > 0 && v < 1e9) {
-		return 0, fmt.Errorf("settings: %s: %q is no span in milliseconds", path, text)
+		return 0, fmt.Errorf("%q is no span in milliseconds", text)
 	}
 	return time.Duration(v * float64(time.Millisecond)), nil
 }
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
 	"martennotch/control"
 )
 
@@ -57,14 +61,15 @@
 			if err := os.WriteFile(path, []byte(strings.Replace(string(good), tc.old, tc.new, 1)), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			if _, err := LoadConfig(path); err == nil || !strings.Contains(err.Error(), tc.tells) {
-				t.Errorf("%v does not tell %q", err, tc.tells)
-			}
+			_, err := LoadConfig(path)
+			var wrong *ConfigError
+			require.ErrorAs(t, err, &wrong)
+			assert.Equal(t, path, wrong.File)
+			assert.Contains(t, err.Error(), tc.tells)
 		})
 	}
-	if _, err := LoadConfig(filepath.Join(t.TempDir(), "none")); err == nil {
-		t.Error("a missing file was taken")
-	}
+	_, err = LoadConfig(filepath.Join(t.TempDir(), "none"))
+	assert.ErrorIs(t, err, fs.ErrNotExist)
 }
 
 // The environment goes before the file; what it says wrong is named.
@@ -78,13 +83,14 @@
 		t.Errorf("%v, console %q, descriptor %d", err, c.Console, c.SocketFD)
 	}
 	for name, value := range map[string]string{"NODE_CONSOLE": "nowhere", "NODE_SOCKET_FD": "five", "NODE_LISTEN": "x"} {
-		if err := c.FromEnvironment(func(n string) string {
+		err := c.FromEnvironment(func(n string) string {
 			if n == name {
 				return value
 			}
 			return ""
-		}); err == nil {
-			t.Errorf("%s=%s is taken", name, value)
-		}
+		})
+		var wrong *EnvironmentError
+		require.ErrorAs(t, err, &wrong, "%s=%s", name, value)
+		assert.Equal(t, name, wrong.Variable)
 	}
 }
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -6,8 +6,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -30,7 +33,7 @@
 func newConsole(addr string, n *Node) (*console, error) {
 	tcp, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, fmt.Errorf("listening for operators: %w", err)
+		return nil, &ListenError{"operators", addr, err}
 	}
 	c := &console{listener: &fewListener{Listener: tcp, open: make(map[*fewConn]time.Time)}}
 	c.srv = &http.Server{Handler: consoleRoutes(n), ReadHeaderTimeout: consoleWithin, ReadTimeout: consoleAnswer,
@@ -81,7 +84,7 @@
 		}},
 		"/undrain": {http.MethodPost: func(w http.ResponseWriter, _ *http.Request) {
 			if !n.drainer.undo() {
-				http.Error(w, "the process ends", http.StatusConflict)
+				refuse(w, &EndingError{n.name})
 				return
 			}
 			fmt.Fprintln(w, "serving")
@@ -91,19 +94,16 @@
 		calls["/zones"] = map[string]http.HandlerFunc{http.MethodGet: z.show, http.MethodPost: z.order}
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		methods, known := calls[r.URL.Path]
-		call := methods[r.Method]
-		switch {
-		case !known:
-			http.NotFound(w, r)
-		case call == nil:
-			for m := range methods {
-				w.Header().Set("Allow", m)
-			}
-			http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
-		default:
+		methods := calls[r.URL.Path]
+		if call := methods[r.Method]; call != nil {
 			call(w, r)
+			return
+		}
+		allowed := slices.Sorted(maps.Keys(methods))
+		if len(allowed) > 0 {
+			w.Header().Set("Allow", strings.Join(allowed, ", "))
 		}
+		refuse(w, &CallError{r.Method, r.URL.Path, allowed})
 	})
 }
 
--- /dev/null
+++ b/internal/node/errors.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"martennotch/internal/oneline"
+)
+
+// ConfigError is a configuration that can't be used.
+type ConfigError struct {
+	File string
+	Key  string // "" is the file as a whole
+	Err  error
+}
+
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("configuration %s: %s; mend the file, then start again, or send SIGHUP to a node that runs", e.File, under(e.Key, e.Err))
+}
+
+func (e *ConfigError) Unwrap() error { return e.Err }
+
+// EnvironmentError is a variable of the environment that can't be used.
+type EnvironmentError struct {
+	Variable string
+	Err      error
+}
+
+func (e *EnvironmentError) Error() string {
+	return fmt.Sprintf("environment: %s: %s; mend the variable and start again", e.Variable, oneline.Of(e.Err))
+}
+
+func (e *EnvironmentError) Unwrap() error { return e.Err }
+
+// FleetFileError is a fleet file that can't be used.
+type FleetFileError struct {
+	File string
+	Line int    // 0 is not known
+	Key  string // "" is the file as a whole
+	Err  error
+}
+
+func (e *FleetFileError) Error() string {
+	at := e.File
+	if e.Line > 0 {
+		at = fmt.Sprintf("%s: line %d", at, e.Line)
+	}
+	return fmt.Sprintf("fleet file %s: %s; mend it and try it with lockflow check", at, under(e.Key, e.Err))
+}
+
+func (e *FleetFileError) Unwrap() error { return e.Err }
+
+// under gives a cause behind the key that it speaks of.
+func under(key string, err error) string {
+	if key == "" {
+		return oneline.Of(err)
+	}
+	return key + ": " + oneline.Of(err)
+}
+
+// ListenError is a socket on which the node can't take connections.
+type ListenError struct {
+	For   string // clients or operators
+	Where string // an address, or an inherited descriptor
+	Err   error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listening for %s: %s: %s; end what has the address, or name another one and start again", e.For, e.Where, oneline.Of(e.Err))
+}
+
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// ServeError is a clients' socket that has failed while the node served.
+type ServeError struct {
+	Address string
+	Err     error
+}
+
+func (e *ServeError) Error() string {
+	return fmt.Sprintf("serving clients: %s: %s; start the node again, and look at its limit on descriptors", e.Address, oneline.Of(e.Err))
+}
+
+func (e *ServeError) Unwrap() error { return e.Err }
+
+// ModuleError is a decision module that has panicked. All that was held has been answered as failed.
+type ModuleError struct{ Panic any }
+
+func (e *ModuleError) Error() string {
+	return fmt.Sprintf("the decision module failed: %s; start the node again and report it with the log's stack", oneline.Of(fmt.Errorf("%v", e.Panic)))
+}
+
+// callError is an operators' call that is answered with no.
+type callError interface {
+	error
+	Status() int // of the answer
+}
+
+// refuse answers a call of the console's with an error.
+func refuse(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	if e, ok := errors.AsType[callError](err); ok {
+		status = e.Status()
+	}
+	slog.Info("console: refused", "status", status, "err", err)
+	http.Error(w, err.Error(), status)
+}
+
+// CallError is a call that the console does not have.
+type CallError struct {
+	Method, Path string
+	Allowed      []string // methods of that path; none is that there is no such path
+}
+
+func (e *CallError) Error() string {
+	if len(e.Allowed) == 0 {
+		return fmt.Sprintf("console: %q: no such call; see the table of calls in docs/oncall.md", e.Path)
+	}
+	return fmt.Sprintf("console: %s: not by %q; call it by %s", e.Path, e.Method, strings.Join(e.Allowed, " or "))
+}
+
+// Status is that of the answer.
+func (e *CallError) Status() int {
+	if len(e.Allowed) == 0 {
+		return http.StatusNotFound
+	}
+	return http.StatusMethodNotAllowed
+}
+
+// EndingError is a drain that can't be called off, as the process ends.
+type EndingError struct{ Node string }
+
+func (e *EndingError) Error() string {
+	return fmt.Sprintf("console: undrain: node %s: the process ends; start another one", e.Node)
+}
+
+// Status is that of the answer.
+func (e *EndingError) Status() int { return http.StatusConflict }
+
+// ZoneError is an order on a zone that the node does not know.
+type ZoneError struct {
+	Zone  string
+	Known []string
+}
+
+func (e *ZoneError) Error() string {
+	return fmt.Sprintf("console: zones: no zone %q; name one of %s", e.Zone, strings.Join(e.Known, ", "))
+}
+
+// Status is that of the answer.
+func (e *ZoneError) Status() int { return http.StatusNotFound }
+
+// BusyError is a call that the node's loop has not taken in time.
+type BusyError struct {
+	Call   string
+	Within time.Duration
+}
+
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("console: %s: not taken within %v, it may still be; look what holds, then call again", e.Call, e.Within)
+}
+
+// Status is that of the answer.
+func (e *BusyError) Status() int { return http.StatusServiceUnavailable }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -39,64 +39,67 @@
 
 const peerPlaces = 16 // descriptors set apart for talk with others
 
-// LoadFleet reads a fleet file. Its error is one line that names file, key and reason.
+// LoadFleet reads a fleet file. Its error is a FleetFileError.
 func LoadFleet(path string) (*Fleet, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("fleet file: %w", err)
+		return nil, &FleetFileError{File: path, Err: err}
 	}
 	f := &Fleet{}
 	if err := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields().Decode(f); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			row, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("fleet file %s: line %d: unknown key %s", path, row, strings.Join(strict.Errors[0].Key(), "."))
+		wrong := &FleetFileError{File: path, Err: err}
+		if strict, ok := errors.AsType[*toml.StrictMissingError](err); ok {
+			wrong.Line, _ = strict.Errors[0].Position()
+			wrong.Err = fmt.Errorf("unknown key %s", strings.Join(strict.Errors[0].Key(), "."))
+		} else if at, ok := errors.AsType[*toml.DecodeError](err); ok {
+			wrong.Line, _ = at.Position()
 		}
-		return nil, fmt.Errorf("fleet file %s: %w", path, err)
+		return nil, wrong
 	}
-	if err := f.check(); err != nil {
-		return nil, fmt.Errorf("fleet file %s: %w", path, err)
+	if key, err := f.check(); err != nil {
+		return nil, &FleetFileError{File: path, Key: key, Err: err}
 	}
 	return f, nil
 }
 
-func (f *Fleet) check() error {
+// check gives the first key with a value that can't be, and why.
+func (f *Fleet) check() (key string, err error) {
 	of := map[string]string{}
 	for region, zones := range f.Regions {
 		for _, z := range zones {
 			if of[z] != "" {
-				return fmt.Errorf("regions: zone %s is in %s and %s", z, of[z], region)
+				return "regions", fmt.Errorf("zone %s is in %s and %s", z, of[z], region)
 			}
 			of[z] = region
 		}
 	}
 	if f.State != nil && !filepath.IsAbs(f.State.Dir) {
-		return fmt.Errorf("state.dir: %q is no whole path", f.State.Dir)
+		return "state.dir", fmt.Errorf("%q is no whole path", f.State.Dir)
 	}
 	if f.Zones != nil && f.Zones.Leave && len(f.Regions) == 0 {
-		return errors.New("zones.leave: regions name no zones")
+		return "zones.leave", errors.New("regions name no zones")
 	}
 	p := f.Peers
 	if p == nil {
-		return nil
+		return "", nil
 	}
 	if p.Label == "" {
-		return errors.New("peers.label: there is none")
+		return "peers.label", errors.New("there is none")
 	}
 	if p.Port < 1 || p.Port > 65535 {
-		return fmt.Errorf("peers.port: %d is no port", p.Port)
+		return "peers.port", fmt.Errorf("%d is no port", p.Port)
 	}
 	for i, s := range p.Seeds {
 		if err := checkAddress(s); err != nil {
-			return fmt.Errorf("peers.seeds: %d: %w", i, err)
+			return fmt.Sprintf("peers.seeds: %d", i), err
 		}
 	}
 	for a, b := range p.Via {
 		if err := errors.Join(checkAddress(a), checkAddress(b)); err != nil {
-			return fmt.Errorf("peers.via: %s: %s", a, strings.ReplaceAll(err.Error(), "\n", "; "))
+			return "peers.via: " + a, err
 		}
 	}
-	return nil
+	return "", nil
 }
 
 func checkAddress(a string) error {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 func TestBadFleetFilesAreNamedInOneLine(t *testing.T) {
@@ -14,6 +17,7 @@
 		good:                                 "",
 		"[regions]\ngulf = [\"a\", \"b\"]\n": "",
 		"speed = 1":                          "line 1: unknown key speed",
+		"\n\n[peers]\nport = \"x\"":          "line 4: ",
 		"[peers]\nport = 7946":               "peers.label",
 		"[peers]\nlabel = \"x\"":             "peers.port: 0",
 		good + "via = {\"a\" = \"b:1\"}":     "peers.via",
@@ -27,12 +31,15 @@
 		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 			t.Fatal(err)
 		}
-		switch _, err := LoadFleet(path); {
-		case want == "" && err != nil:
-			t.Errorf("%q: %v", text, err)
-		case want != "" && (err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n")):
-			t.Errorf("%q: error %v, wanted one line with %q", text, err, want)
+		_, err := LoadFleet(path)
+		if want == "" {
+			assert.NoError(t, err, text)
+			continue
 		}
+		var wrong *FleetFileError
+		require.ErrorAs(t, err, &wrong, text)
+		assert.Contains(t, err.Error(), want)
+		assert.NotContains(t, err.Error(), "\n")
 	}
 }
 
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg, err := parseConfig(raw)
+	cfg, _, err := parseConfig(raw)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"runtime/debug"
@@ -75,7 +74,8 @@
 	defer func() {
 		// Guards against requests lost with a module that panics.
 		if p := recover(); p != nil {
-			l.failed = fmt.Errorf("the decision module failed: %v\n%s", p, debug.Stack())
+			l.failed = &ModuleError{p}
+			slog.Error("module: panic", "stack", string(debug.Stack()))
 		}
 		for _, x := range l.exchanges {
 			l.finish(x, answer{status: http.StatusBadGateway})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -28,6 +27,7 @@
 
 // Node is an edge node.
 type Node struct {
+	name      string
 	front     *front
 	loop      *loop
 	upstream  *upstream
@@ -66,14 +66,14 @@
 	up := newUpstream(cfg.Connect, cfg.Keepalive, cfg.Settings.GroupSize, socks, newBudget(memory))
 	l, err := newLoop(cfg, up, counts)
 	if err != nil {
-		return nil, err
+		return nil, &ConfigError{File: cfg.File, Err: err}
 	}
 	tcp, inherited, err := listen(cfg)
 	if err != nil {
-		return nil, fmt.Errorf("listening for clients: %w", err)
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{front: newFront(cfg.Settings, l, socks, counts), loop: l, upstream: up, known: cfg.Known,
+	n := &Node{name: cfg.Name, front: newFront(cfg.Settings, l, socks, counts), loop: l, upstream: up, known: cfg.Known,
 		listener: &countedListener{tcp, ctx, socks}, listening: cancel, inherited: inherited,
 		most: drainMost(cfg.Settings.Classes), stats: counts}
 	n.drainer = &drainer{front: n.front}
@@ -199,7 +199,7 @@
 		n.finish(srv, drainWrite)
 		return n.loop.failed
 	case err := <-served:
-		return fmt.Errorf("serving clients: %w", err)
+		return &ServeError{n.Addr(), err}
 	}
 	return n.drain(srv, stop)
 }
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -35,24 +36,28 @@
 }
 
 // listen takes clients at the address of the configuration, or on the inherited socket where one
-// is named. That one is never shut down: closing a copy leaves it to the other processes.
+// is named. That one is never shut down: closing a copy leaves it to the other processes. Its error
+// is a ListenError.
 func listen(cfg Config) (l net.Listener, inherited bool, err error) {
 	if cfg.SocketFD == 0 {
-		l, err = net.Listen("tcp", cfg.Listen)
-		return l, false, err
+		if l, err = net.Listen("tcp", cfg.Listen); err != nil {
+			return nil, false, &ListenError{"clients", cfg.Listen, err}
+		}
+		return l, false, nil
 	}
 	fd := cfg.SocketFD
+	wrong := func(err error) error { return &ListenError{"clients", fmt.Sprintf("descriptor %d", fd), err} }
 	if on, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || on == 0 {
-		return nil, true, fmt.Errorf("descriptor %d is no listening socket (%v)", fd, err)
+		return nil, true, wrong(fmt.Errorf("no listening socket (%v)", err))
 	}
 	f := os.NewFile(uintptr(fd), "clients")
 	defer f.Close()
 	if l, err = net.FileListener(f); err != nil {
-		return nil, true, fmt.Errorf("descriptor %d: %w", fd, err)
+		return nil, true, wrong(err)
 	}
 	if _, ok := l.(*net.TCPListener); !ok {
 		l.Close()
-		return nil, true, fmt.Errorf("descriptor %d is no TCP socket", fd)
+		return nil, true, wrong(errors.New("no TCP socket"))
 	}
 	return l, true, nil
 }
--- a/internal/node/zoning.go
+++ b/internal/node/zoning.go
@@ -139,11 +139,19 @@
 	json.NewEncoder(w).Encode(lines)
 }
 
+// names gives the zones that orders may name.
+func (z *zoning) names() (names []string) {
+	for _, v := range *z.views.Load() {
+		names = append(names, v.Zone)
+	}
+	return names
+}
+
 // order takes the operators' word on a zone: leave, hold, return or none.
 func (z *zoning) order(w http.ResponseWriter, r *http.Request) {
 	o, err := zone.ParseOrder(r.URL.Query().Get("order"))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		refuse(w, err)
 		return
 	}
 	name, known := r.URL.Query().Get("zone"), make(chan bool, 1)
@@ -159,11 +167,11 @@
 	select {
 	case ok := <-known:
 		if !ok {
-			http.Error(w, "no such zone", http.StatusNotFound)
+			refuse(w, &ZoneError{name, z.names()})
 			return
 		}
 		z.show(w, r)
 	case <-time.After(zonesWithin):
-		http.Error(w, "busy", http.StatusServiceUnavailable)
+		refuse(w, &BusyError{"zones", zonesWithin})
 	}
 }
--- /dev/null
+++ b/internal/oneline/oneline.go
@@ -0,0 +1,21 @@
+// Package oneline gives the text of an error as a part of another's one line.
+package oneline
+
+import (
+	"fmt"
+	"io/fs"
+	"net"
+	"strings"
+)
+
+// Of gives the text of a cause without line breaks, and without the place where it is one of the
+// standard library's that begins with it: who wraps it names the place.
+func Of(err error) string {
+	switch e := err.(type) {
+	case *fs.PathError:
+		err = e.Err
+	case *net.OpError:
+		err = e.Err
+	}
+	return strings.Join(strings.FieldsFunc(fmt.Sprint(err), func(r rune) bool { return r == '\n' || r == '\r' }), ", ")
+}
