Give the state folder's and the peers' errors types that say what to do

Callers compared sentinels, and staff read causes without a file or what to do. Each way in which a state can't be read, written or locked, and in which a node can't join, leave or send, is now a type with file or peer, cause and what to do. Where nobody could be joined the log gives the first seed's reason; until now it said "2 errors occurred:" and no more.

--- a/internal/node/keeping.go
+++ b/internal/node/keeping.go
@@ -94,7 +94,8 @@
 	f, err := store.Open(k.disk, k.dir, k.node)
 	if err != nil {
 		slog.Warn("state: not kept", "err", err)
-		return !errors.Is(err, store.ErrUsed)
+		_, used := errors.AsType[*store.UsedError](err)
+		return !used
 	}
 	kept := k.read(f)
 	if kept != nil && !inherited {
@@ -125,7 +126,7 @@
 			return
 		}
 		f, err := store.Open(k.disk, k.dir, k.node)
-		if errors.Is(err, store.ErrUsed) {
+		if _, used := errors.AsType[*store.UsedError](err); used {
 			continue
 		}
 		if err != nil {
--- a/internal/oneline/errors_test.go
+++ b/internal/oneline/errors_test.go
@@ -22,6 +22,8 @@
 	"martennotch/fleet/turns"
 	"martennotch/fleet/zone"
 	"martennotch/internal/node"
+	"martennotch/internal/peer"
+	"martennotch/internal/store"
 )
 
 var cause = errors.New("made up\nin two lines")
@@ -38,6 +40,13 @@
 	&node.ModuleError{Panic: cause},
 	&node.ServeError{Address: "127.0.0.1:80", Err: cause},
 	&node.ZoneError{Zone: "hall-x", Known: []string{"hall-a"}},
+	&peer.BindError{Address: "127.0.0.1:7946", Err: cause},
+	&peer.ConfigError{Key: "bind", Err: cause},
+	&peer.FullError{Member: "n-1", Address: "127.0.0.1:7946", Most: 1024},
+	&peer.JoinError{Seeds: 3, Err: cause},
+	&peer.LeaveError{Name: "n-1", Err: cause},
+	&peer.MemberError{Index: 3},
+	&peer.StartError{Name: "n-1", Address: "127.0.0.1:7946", Err: cause},
 	&provision.CalendarError{Site: "ridge", Key: "windows.0", Reason: "no end"},
 	&provision.LoanError{Customer: 7, Reason: "nothing left"},
 	&provision.VoidError{Reason: "another start"},
@@ -51,6 +60,16 @@
 	&rules.StaleVersionError{Have: 3, Want: 2},
 	&rules.TooLargeError{What: "rule set: its bytes", Have: 3, Most: 2},
 	&rules.UnknownError{Kind: "plan", Name: "gold"},
+	&store.AsideError{File: "d/state", Why: cause, Err: cause},
+	&store.FolderError{Dir: "d", Err: cause},
+	&store.OwnerError{File: "d/state", Have: "n-2", Want: "n-1"},
+	&store.ReadError{File: "d/state", Err: cause},
+	&store.SizeError{File: "d/state", What: "customers", Have: 3, Most: 2},
+	&store.SpoiltError{File: "d/state", Err: cause},
+	&store.StillError{Dir: "d", Within: time.Second},
+	&store.UsedError{Dir: "d"},
+	&store.VersionError{File: "d/state", Have: 2, Want: 1},
+	&store.WriteError{File: "d/state", Err: cause},
 	&turns.PlanError{Key: "hosts.0", Host: "h-1", Why: "no time", Do: "give it one"},
 	&turns.SpoiltError{What: "a command", Why: "no number", Do: "look for another version"},
 	&zone.OrderError{Order: "go"},
--- a/internal/oneline/oneline.go
+++ b/internal/oneline/oneline.go
@@ -5,15 +5,18 @@
 	"fmt"
 	"io/fs"
 	"net"
+	"os"
 	"strings"
 )
 
 // Of gives the text of a cause without line breaks, and without the place where it is one of the
-// standard library's that begins with it: who wraps it names the place.
+// standard library's that tells it: who wraps it names the place.
 func Of(err error) string {
 	switch e := err.(type) {
 	case *fs.PathError:
-		err = e.Err
+		err = fmt.Errorf("%s: %w", e.Op, e.Err)
+	case *os.LinkError:
+		err = fmt.Errorf("%s: %w", e.Op, e.Err)
 	case *net.OpError:
 		err = e.Err
 	}
--- a/internal/peer/member.go
+++ b/internal/peer/member.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"fmt"
 	"maps"
 	"sync/atomic"
 
@@ -81,7 +80,7 @@
 	p.mu.Unlock()
 	if full && !known && n.Name != p.cfg.Name {
 		p.Counts.Refused.Add(1)
-		return fmt.Errorf("%d members are the most", membersMost)
+		return &FullError{n.Name, n.Address(), membersMost}
 	}
 	return nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log"
 	"log/slog"
 	"math/rand/v2"
@@ -78,15 +77,16 @@
 	nodes map[int]*memberlist.Node // that can be sent to, by index: live, or leaving
 }
 
-// Start begins to take part. It does not wait for others: joining goes on beside.
+// Start begins to take part. It does not wait for others: joining goes on beside. Its error is a
+// ConfigError, a BindError or a StartError.
 func Start(cfg Config, l *slog.Logger) (*Peers, error) {
 	host, port, err := net.SplitHostPort(cfg.Bind)
 	if err != nil {
-		return nil, fmt.Errorf("peers: bind: %w", err)
+		return nil, &ConfigError{"bind", err}
 	}
 	number, err := strconv.Atoi(port)
 	if err != nil {
-		return nil, fmt.Errorf("peers: bind: port %q: %w", port, err)
+		return nil, &ConfigError{"bind", err}
 	}
 	p := &Peers{cfg: cfg, log: l, seeds: cfg.Seeds, live: make(map[string]Member), nodes: make(map[int]*memberlist.Node), rng: rand.New(rand.NewPCG(cfg.Seed, 0x70656572))}
 	state := StateVersion
@@ -95,19 +95,19 @@
 	}
 	p.said = meta{cfg.Zone, cfg.Region, cfg.Program, state, uint64(time.Now().UnixMilli()), true, cfg.Index}
 	if n := len(p.NodeMeta(memberlist.MetaMaxSize)); n == 0 {
-		return nil, errors.New("peers: the names of zone, region and program are too long")
+		return nil, &ConfigError{"zone, region and program", errors.New("their names are too long together")}
 	}
 	p.said.Leaving = false
 	std := log.New(&lines{l, &p.Counts}, "", 0)
 	// The library does not tell which error it was.
 	probe, err := net.Listen("tcp", cfg.Bind)
 	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
+		return nil, &BindError{cfg.Bind, err}
 	}
 	probe.Close()
 	net, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: number, Logger: std})
 	if err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
+		return nil, &BindError{cfg.Bind, err}
 	}
 	// The timings are the library's for one site.
 	c := memberlist.DefaultLANConfig()
@@ -121,7 +121,7 @@
 	p.life, p.end = context.WithCancel(context.Background())
 	if p.list, err = memberlist.Create(c); err != nil {
 		net.Shutdown()
-		return nil, fmt.Errorf("peers: %w", err)
+		return nil, &StartError{cfg.Name, cfg.Bind, err}
 	}
 	p.done.Go(p.join)
 	return p, nil
@@ -144,13 +144,14 @@
 // Incarnation is this process's, as others see it.
 func (p *Peers) Incarnation() uint64 { return p.said.Incarnation }
 
-// Send sends a message to the member of an index, once: it may be lost.
+// Send sends a message to the member of an index, once: it may be lost. Where there is none its error
+// is a MemberError.
 func (p *Peers) Send(index int, raw []byte) error {
 	p.mu.Lock()
 	to := p.nodes[index]
 	p.mu.Unlock()
 	if to == nil {
-		return fmt.Errorf("no member has index %d", index)
+		return &MemberError{index}
 	}
 	return p.list.SendBestEffort(to, raw)
 }
@@ -168,12 +169,19 @@
 	p.mu.Lock()
 	p.said.Leaving = true
 	p.mu.Unlock()
-	return p.list.UpdateNode(leaveWithin)
+	return p.left(p.list.UpdateNode(leaveWithin))
+}
+
+func (p *Peers) left(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &LeaveError{p.cfg.Name, err}
 }
 
 // Leave ends after a Part. The library tells those who hear of a leave that it is a death; the word
 // has gone before it.
-func (p *Peers) Leave() error { return errors.Join(p.list.Leave(leaveWithin), p.Close()) }
+func (p *Peers) Leave() error { return p.left(errors.Join(p.list.Leave(leaveWithin), p.Close())) }
 
 // Close ends without a word, as a death does.
 func (p *Peers) Close() error {
@@ -190,7 +198,10 @@
 	for {
 		if seeds := p.missing(); len(seeds) > 0 {
 			if _, err := p.list.Join(seeds); err != nil && p.Counts.Live.Load() == 0 {
-				p.log.Warn("peers: nobody joined", "seeds", len(seeds), "err", firstLine(err))
+				if first := errors.Unwrap(err); first != nil { // of a list with a line for each
+					err = first
+				}
+				p.log.Warn("peers: nobody joined", "err", &JoinError{len(seeds), err})
 			}
 		}
 		if pause = min(2*pause, joinMost); p.Counts.Live.Load() > 0 {
@@ -223,8 +234,3 @@
 	}
 	return out
 }
-
-func firstLine(err error) string {
-	line, _, _ := strings.Cut(err.Error(), "\n")
-	return line
-}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -146,10 +147,12 @@
 	until(t, "both to be together again", both(1))
 }
 
-// free gives an address that nobody listens at.
+// free gives an address that nobody listens at. It is this process's own, so that no other's
+// connection takes the port meanwhile.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.250.%d.%d:0", pid>>8&0xff, pid&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"fmt"
 	"log/slog"
 	"maps"
 	"sync"
@@ -55,7 +54,7 @@
 }
 
 // Close writes what it was given and ends; within a time, after which a disk that stands still is
-// left to itself.
+// left to itself and its error is a StillError.
 func (k *Keeper) Close(within time.Duration) error {
 	close(k.in)
 	ended := make(chan struct{})
@@ -67,7 +66,7 @@
 	case <-ended:
 		return k.folder.Close()
 	case <-time.After(within):
-		return fmt.Errorf("state: the disk stood still for %v", within)
+		return &StillError{k.folder.dir, within}
 	}
 }
 
@@ -89,7 +88,7 @@
 	}
 	maps.DeleteFunc(k.records, func(_ Key, r Record) bool { return r.Full <= now.UnixMilli() })
 	if len(k.records) > k.most {
-		return 0, fmt.Errorf("%d customers, %d are the most", len(k.records), k.most)
+		return 0, &SizeError{k.folder.path(stateName), "customers", len(k.records), k.most}
 	}
 	for name, p := range c.parts {
 		k.parts[name] = p
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -59,13 +59,6 @@
 	Full     int64 // ms of Unix time when the store is full again, and the mark of no worth
 }
 
-// Errors by which a state is of no use; it is put aside.
-var (
-	ErrSpoilt = errors.New("it is spoilt")
-	ErrNewer  = errors.New("it is of a later version of the program")
-	ErrOther  = errors.New("it is another node's")
-)
-
 var (
 	encoding = must(cbor.CanonicalEncOptions().EncMode())
 	decoding = must(cbor.DecOptions{MaxArrayElements: recordMost, MaxMapPairs: 64, MaxNestedLevels: 6,
@@ -86,9 +79,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(raw)+headBytes > BytesMost {
-		return nil, fmt.Errorf("a state of %d bytes, %d are the most", len(raw), BytesMost-headBytes)
-	}
 	b := append(make([]byte, 0, headBytes+len(raw)), magic...)
 	b = binary.BigEndian.AppendUint16(b, version)
 	b = binary.BigEndian.AppendUint64(b, uint64(len(raw)))
@@ -97,27 +87,28 @@
 	return append(b, raw...), nil
 }
 
-// decode reads a state of a node.
-func decode(b []byte, node string) (*State, error) {
+// decode reads a state of a node, which is the content of a file.
+func decode(file string, b []byte, node string) (*State, error) {
+	spoilt := func(why string) error { return &SpoiltError{file, errors.New(why)} }
 	if len(b) < headBytes || string(b[:4]) != magic {
-		return nil, ErrSpoilt
+		return nil, spoilt("its head is not a state's")
 	}
 	sum := crc32.Update(crc32.Checksum(b[:headBytes-4], castagnoli), castagnoli, b[headBytes:])
 	if sum != binary.BigEndian.Uint32(b[headBytes-4:]) {
-		return nil, ErrSpoilt
+		return nil, spoilt("its sum is not that of its bytes")
 	}
 	if v := binary.BigEndian.Uint16(b[4:]); v != version {
-		return nil, fmt.Errorf("%w: %d, not %d", ErrNewer, v, version)
+		return nil, &VersionError{file, int(v), version}
 	}
 	if binary.BigEndian.Uint64(b[6:]) != uint64(len(b)-headBytes) {
-		return nil, ErrSpoilt
+		return nil, spoilt("its length is not the one it tells")
 	}
 	s := &State{}
 	if err := decoding.Unmarshal(b[headBytes:], s); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrSpoilt, err)
+		return nil, &SpoiltError{file, err}
 	}
 	if s.Node != node {
-		return nil, fmt.Errorf("%w: %q, not %q", ErrOther, s.Node, node)
+		return nil, &OwnerError{file, s.Node, node}
 	}
 	return s, nil
 }
@@ -130,25 +121,23 @@
 	lock *os.File // nil where the file layer is a test's
 }
 
-// ErrUsed tells that another process has the folder.
-var ErrUsed = errors.New("another process uses it")
-
 // Open takes a folder of a file system, which is made where there is none. It waits for no other
-// process. The lock is the machine's own: a disk that fails must not let two processes in.
+// process: where another has the folder its error is a UsedError, else a FolderError. The lock is the
+// machine's own: a disk that fails must not let two processes in.
 func Open(d disk.FS, dir, node string) (*Folder, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, fmt.Errorf("state folder: %w", err)
+		return nil, &FolderError{dir, err}
 	}
 	lock, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
-		return nil, fmt.Errorf("state folder: %w", err)
+		return nil, &FolderError{dir, err}
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		lock.Close()
 		if errors.Is(err, syscall.EWOULDBLOCK) {
-			err = ErrUsed
+			return nil, &UsedError{dir}
 		}
-		return nil, fmt.Errorf("state folder %s: %w", dir, err)
+		return nil, &FolderError{dir, err}
 	}
 	return &Folder{fs: d, dir: dir, node: node, lock: lock}, nil
 }
@@ -164,21 +153,23 @@
 func (f *Folder) path(name string) string { return filepath.Join(f.dir, name) }
 
 // Read gives the last state that came to the disk; nil is none. One that is of no use is put aside
-// and why tells the reason; the folder can be written to all the same.
+// and why tells the reason: a SpoiltError, VersionError, OwnerError or ReadError, within an AsideError
+// where it can't be put aside. The folder can be written to all the same.
 func (f *Folder) Read() (s *State, why error) {
-	raw, err := disk.ReadFile(f.fs, f.path(stateName), BytesMost)
+	file := f.path(stateName)
+	raw, err := disk.ReadFile(f.fs, file, BytesMost)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
-	if err == nil {
-		if s, err = decode(raw, f.node); err == nil {
-			return s, nil
-		}
+	if err != nil {
+		why = &ReadError{file, err}
+	} else if s, why = decode(file, raw, f.node); why == nil {
+		return s, nil
 	}
-	if aside := f.putAside(); aside != nil {
-		err = errors.Join(err, aside)
+	if err := f.putAside(); err != nil {
+		why = &AsideError{file, why, err}
 	}
-	return nil, fmt.Errorf("the state: %w", err)
+	return nil, why
 }
 
 // putAside keeps a state that can't be used under another name, and the oldest of those no longer.
@@ -211,11 +202,18 @@
 }
 
 // Write brings a state to the disk: when it returns without an error the state is there, whatever
-// becomes of the machine. After an error the one before is, or this one.
+// becomes of the machine. After an error, a SizeError or a WriteError, the one before is, or this one.
 func (f *Folder) Write(s *State) (bytes int, err error) {
+	file := f.path(stateName)
 	raw, err := encode(s)
 	if err != nil {
-		return 0, err
+		return 0, &WriteError{file, err}
+	}
+	if len(raw) > BytesMost {
+		return 0, &SizeError{file, "bytes", len(raw), BytesMost}
+	}
+	if err := disk.WriteFile(f.fs, file, raw); err != nil {
+		return 0, &WriteError{file, err}
 	}
-	return len(raw), disk.WriteFile(f.fs, f.path(stateName), raw)
+	return len(raw), nil
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+
 	"martennotch/internal/store/disk"
 )
 
@@ -96,7 +98,7 @@
 		t.Fatal(err)
 	}
 	look := func(what string, b []byte) {
-		if s, err := decode(b, "n1"); err == nil || s != nil {
+		if s, err := decode("f", b, "n1"); err == nil || s != nil {
 			t.Errorf("%s: read %+v", what, s)
 		}
 	}
@@ -109,9 +111,8 @@
 		look(fmt.Sprint("length ", i), raw[:i])
 	}
 	look("more", append(slices.Clone(raw), 0))
-	if _, err := decode(raw, "n2"); !errors.Is(err, ErrOther) {
-		t.Errorf("another node's: %v", err)
-	}
+	_, err = decode("f", raw, "n2")
+	assert.Equal(t, &OwnerError{"f", "n1", "n2"}, err)
 }
 
 // Whatever stands where the state should be, a folder opens, gives nothing, keeps two of what was
@@ -123,9 +124,8 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	if _, err := Open(disk.Machine{}, dir, "n1"); !errors.Is(err, ErrUsed) {
-		t.Errorf("a second process: %v", err)
-	}
+	_, err = Open(disk.Machine{}, dir, "n1")
+	assert.Equal(t, &UsedError{dir}, err)
 	for i, spoil := range []func() error{
 		func() error { return os.WriteFile(f.path(stateName), nil, 0o600) },
 		func() error { return os.WriteFile(f.path(stateName), []byte("lfstxxxxxxxxxxxxxxxxxxxxxxxx"), 0o600) },
@@ -149,9 +149,9 @@
 		if err := spoil(); err != nil {
 			t.Fatal(err)
 		}
-		if s, err := f.Read(); s != nil || err == nil {
-			t.Errorf("case %d: read %+v, %v", i, s, err)
-		}
+		s, err := f.Read()
+		assert.Nil(t, s)
+		assert.IsType(t, []error{&SpoiltError{}, &SpoiltError{}, &ReadError{}, &OwnerError{}, &SpoiltError{}}[i], err, "case %d", i)
 		if s, err := f.Read(); s != nil || err != nil {
 			t.Errorf("case %d: after it was put aside: %+v, %v", i, s, err)
 		}
@@ -162,9 +162,8 @@
 	}
 	big := state(1)
 	big.Parts["learnt"] = make([]byte, BytesMost)
-	if _, err := f.Write(big); err == nil {
-		t.Error("a state beyond the most is written")
-	}
+	_, err = f.Write(big)
+	assert.IsType(t, &SizeError{}, err, "a state beyond the most is written")
 	if _, err := f.Write(state(50)); err != nil {
 		t.Fatal(err)
 	}
@@ -218,7 +217,7 @@
 	f.Add(raw)
 	f.Add(raw[:headBytes])
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if s, err := decode(b, "n1"); err == nil && s.Node != "n1" {
+		if s, err := decode("f", b, "n1"); err == nil && s.Node != "n1" {
 			t.Fatalf("read another's: %+v", s)
 		}
 	})
