Let voters agree by raft, on a log that finds what a disk has lost

Nothing in the fleet is decided together yet. Voters agree by hashicorp/raft over a listener of their own; each asks the others at its start what it has said to them, and one whose disk has less, spoilt or nothing begins with another identity and is admitted anew. Three voters in process: what is agreed outlives the leader, all at once, and an emptied folder.

--- /dev/null
+++ b/internal/council/council_test.go
@@ -0,0 +1,163 @@
+package council
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"martennotch/internal/store/disk"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv("COUNCIL_LOG") == "" {
+		slog.SetDefault(slog.New(slog.DiscardHandler))
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// adder is a state machine that adds up.
+type adder struct {
+	mu  sync.Mutex
+	sum uint64
+}
+
+func (a *adder) Apply(_ uint64, command []byte) any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sum += binary.BigEndian.Uint64(command)
+	return a.sum
+}
+
+func (a *adder) Snapshot() ([]byte, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return binary.BigEndian.AppendUint64(nil, a.sum), nil
+}
+
+func (a *adder) Restore(state []byte) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sum = 0; state != nil {
+		a.sum = binary.BigEndian.Uint64(state)
+	}
+	return nil
+}
+
+// one is a voter of a test, which can end and begin again on its folder.
+type one struct {
+	*Voter
+	sum  *adder
+	dir  string
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// group is the voters of a test.
+type group struct {
+	t     *testing.T
+	peers []Peer
+	all   []*one
+}
+
+func newGroup(t *testing.T, n int) *group {
+	g := &group{t: t}
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		g.peers = append(g.peers, Peer{fmt.Sprintf("n%d", i), l.Addr().String()})
+		l.Close()
+	}
+	dir := t.TempDir()
+	for i := range n {
+		g.all = append(g.all, &one{dir: filepath.Join(dir, g.peers[i].Name)})
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range g.all {
+			g.end(i)
+		}
+	})
+	return g
+}
+
+func (g *group) start(i int) {
+	o := g.all[i]
+	o.sum = &adder{}
+	var err error
+	o.Voter, err = New(Config{Label: "test", Self: g.peers[i].Name, Voters: g.peers, Dir: o.dir, Disk: disk.Machine{},
+		Machines: map[byte]Machine{'a': o.sum}})
+	require.NoError(g.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	o.stop, o.done = stop, make(chan struct{})
+	go func() { o.Run(ctx); close(o.done) }()
+}
+
+func (g *group) end(i int) {
+	g.all[i].stop()
+	<-g.all[i].done
+}
+
+// add has a number agreed at whoever leads.
+func (g *group) add(n uint64) (sum uint64, leader int) {
+	g.t.Helper()
+	for late := time.Now().Add(20 * time.Second); time.Now().Before(late); time.Sleep(20 * time.Millisecond) {
+		for i, o := range g.all {
+			got, err := o.Propose('a', binary.BigEndian.AppendUint64(nil, n), time.Second)
+			if err == nil {
+				return got.(uint64), i
+			}
+		}
+	}
+	for _, o := range g.all {
+		g.t.Logf("%+v", o.Status())
+	}
+	g.t.Fatal("nothing is agreed")
+	return 0, 0
+}
+
+// votes waits until a voter votes.
+func (g *group) votes(i int) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool { return g.all[i].Status().Phase == PhaseVoting }, 20*time.Second, 20*time.Millisecond, "%+v", g.all[i].Status())
+}
+
+// What three voters agree on outlives the leader, all of them at once, and one folder that is
+// emptied; and that one founds nothing of its own.
+func TestAgreedOutlives(t *testing.T) {
+	g := newGroup(t, 3)
+	sum, leader := g.add(1)
+	require.EqualValues(t, 1, sum)
+	g.end(leader)
+	sum, _ = g.add(2)
+	require.EqualValues(t, 3, sum)
+	g.start(leader)
+	g.votes(leader)
+	for i := range 3 {
+		g.end(i)
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	sum, leader = g.add(4)
+	require.EqualValues(t, 7, sum)
+	was := g.all[leader].Status().Identity
+	g.end(leader)
+	require.NoError(t, os.RemoveAll(g.all[leader].dir))
+	g.start(leader)
+	g.votes(leader)
+	require.NotEqual(t, was, g.all[leader].Status().Identity)
+	sum, _ = g.add(8)
+	require.EqualValues(t, 15, sum)
+	require.Eventually(t, func() bool { s, _ := g.all[leader].sum.Snapshot(); return binary.BigEndian.Uint64(s) == 15 }, 5*time.Second, 10*time.Millisecond)
+	require.Len(t, g.all[leader].Status().Voters, 3)
+}
