Give turns out by a state machine for a replicated log, with the agent's side

One machine's turn is asked for, granted under a fencing number, drained, seen idle from outside, out, back cold and warm; only then is its place free. Bounds of zone, customer's set, warm capacity after the worst zone's loss, groups, voters and uplinks are looked at when a turn is granted, begun and left for.

--- a/fleet/turns/command.go
+++ b/fleet/turns/command.go
@@ -57,14 +57,14 @@
 
 // The phases.
 const (
-	Gone     Phase = iota // no word of it, or not in the list
-	Cold                  // it is there, and held to the cold rule
-	Warm                  // it serves
-	Draining              // it takes nothing new and has work left
-	Idle                  // it takes nothing new, nobody sends to it, and it has no work
+	Gone    Phase = iota // no word of it, or not in the list
+	Cold                 // it is there, and held to the cold rule
+	Warm                 // it serves
+	Leaving              // it takes nothing new and has work left
+	Idle                 // it takes nothing new, nobody sends to it, and it has no work
 )
 
-func (p Phase) String() string { return name(p, "gone", "cold", "warm", "draining", "idle") }
+func (p Phase) String() string { return name(p, "gone", "cold", "warm", "leaving", "idle") }
 
 func name[T ~uint8](v T, names ...string) string {
 	if int(v) < len(names) {
@@ -125,16 +125,18 @@
 // Verb is what a machine says of its turn.
 type Verb uint8
 
-// The verbs. Each but Ask says under which fencing number.
+// The verbs. Each but Poll and Ask says under which fencing number. A Poll is answered by the leader
+// and not put into the log.
 const (
-	Ask   Verb = iota + 1 // a process asks for its host's turn, or what has become of it
-	Begin                 // it is to begin its drain
-	Go                    // drained, it is to go out
-	Back                  // it is back from its work
-	Here                  // it has come back from its drain, or never begun it, and serves
+	Poll  Verb = iota // what has become of its turn
+	Ask               // a process asks for its host's turn for the first time, or anew
+	Begin             // it is to begin its drain
+	Go                // drained, it is to go out
+	Back              // it is back from its work
+	Here              // it has come back from its drain, or never begun it, and serves
 )
 
-func (v Verb) String() string { return name(v, "none", "ask", "begin", "go", "back", "here") }
+func (v Verb) String() string { return name(v, "poll", "ask", "begin", "go", "back", "here") }
 
 // Word is what a machine's agent says. Only its being applied lets the agent act.
 type Word struct {
@@ -277,7 +279,7 @@
 }
 
 func (m *Machine) check() error {
-	if !nameGood(m.Host) || !nameGood(m.Name) || !nameGood(m.Zone) || m.Kind > Server || m.Phase > Idle || m.Index < 0 || m.Index >= MachinesMost {
+	if !nameGood(m.Host) || !nameGood(m.Name) || !nameGood(m.Zone) || m.Kind > Server || m.Phase > Idle || m.Index < 0 || m.Index >= MachinesMost || m.Capacity == 0 {
 		return spoilt("machine", "host %q, zone %q", m.Host, m.Zone)
 	}
 	return nil
--- a/fleet/turns/errors.go
+++ b/fleet/turns/errors.go
@@ -31,3 +31,80 @@
 func spoilt(what, why string, values ...any) error {
 	return &SpoiltError{what, fmt.Sprintf(why, values...), "look for a node of another version, or a spoilt disk"}
 }
+
+// StalePlanError is a plan that is not later than the one in force.
+type StalePlanError struct{ Have, Got uint64 }
+
+func (e *StalePlanError) Error() string {
+	return fmt.Sprintf("turns: plan %d refused: %d is in force; activate it under a new number", e.Got, e.Have)
+}
+
+// StaleLookError is evidence that was meant for another state: doubled, overtaken or of an old leader.
+type StaleLookError struct{ Have, After uint64 }
+
+func (e *StaleLookError) Error() string {
+	return fmt.Sprintf("turns: a look after %d refused: there were %d; nothing is to be done unless it goes on, then look at who leads the council", e.After, e.Have)
+}
+
+// StaleFenceError is a word under a number that is not in force.
+type StaleFenceError struct {
+	Host      string
+	Got, Have uint64 // 0 is none
+}
+
+func (e *StaleFenceError) Error() string {
+	return fmt.Sprintf("turns: host %s: fencing number %d is void, %d is in force; the node asks anew by itself", e.Host, e.Got, e.Have)
+}
+
+// OrderError is a word or order that does not fit how far a turn is.
+type OrderError struct {
+	Host  string
+	What  string
+	Stage Stage
+	Phase Phase
+	Seen  bool // Phase is why
+}
+
+func (e *OrderError) Error() string {
+	if e.Seen {
+		return fmt.Sprintf("turns: host %s: no %s while it is seen %v; end its process first, or wait until it has returned", e.Host, e.What, e.Phase)
+	}
+	return fmt.Sprintf("turns: host %s: no %s while its turn is %v; look at turns status", e.Host, e.What, e.Stage)
+}
+
+// UnknownHostError is a host that the plan or the fleet does not have.
+type UnknownHostError struct{ Host string }
+
+func (e *UnknownHostError) Error() string {
+	return fmt.Sprintf("turns: host %s: neither plan nor fleet has work for it; if it came back under a new name, adopt that name", e.Host)
+}
+
+// NameTakenError is a name that two hosts use.
+type NameTakenError struct{ Host, Name, By string }
+
+func (e *NameTakenError) Error() string {
+	return fmt.Sprintf("turns: host %s: the name %s is in use by host %s; start it under its own name", e.Host, e.Name, e.By)
+}
+
+// HaltedError is a step out while all is halted.
+type HaltedError struct{ Why string }
+
+func (e *HaltedError) Error() string {
+	return fmt.Sprintf("turns: halted: %s; turns resume goes on by hand", e.Why)
+}
+
+// BoundError is a bound that keeps a machine in.
+type BoundError struct {
+	Host  string
+	Bound Bound
+	Where string
+	Away  uint64 // with the machine
+	Most  uint64
+}
+
+func (e *BoundError) Error() string {
+	if e.Most == 0 && e.Away == 0 {
+		return fmt.Sprintf("turns: host %s: kept in by its %v, %s; it goes when that allows it", e.Host, e.Bound, e.Where)
+	}
+	return fmt.Sprintf("turns: host %s: kept in by the bound on %v, %s: %d away of %d at most; wait for others, or widen the bound in the plan", e.Host, e.Bound, e.Where, e.Away, e.Most)
+}
--- /dev/null
+++ b/fleet/turns/order.go
@@ -0,0 +1,79 @@
+package turns
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// grain is what two latest starts may differ by and count as equally urgent, in ms. Then the
+// machine with less worth at risk goes first.
+const grain = int64(time.Minute / time.Millisecond)
+
+// need is what a turn takes as expected, from its grant to its return.
+func (s *State) need(length Span) Span { return s.plan.plan.Drain + length + s.plan.plan.Warm }
+
+// rank is a host's place in the order: by the latest time at which it has to go, then by the worth
+// that it serves, then by name.
+type rank struct {
+	host   string
+	m      *machine
+	start  int64
+	load   uint32
+	length Span
+	due    Moment
+}
+
+func (s *State) rank(host string, w work) rank {
+	r := rank{host: host, start: math.MaxInt64, length: w.length, due: w.deadline}
+	if w.deadline > 0 {
+		r.start = (int64(w.deadline) - s.need(w.length).millis()) / grain
+	}
+	if r.m = s.fleet[host]; r.m != nil {
+		r.load = r.m.Load
+	}
+	return r
+}
+
+func (r rank) compare(q rank) int {
+	return cmp.Or(cmp.Compare(r.start, q.start), cmp.Compare(r.load, q.load), cmp.Compare(r.host, q.host))
+}
+
+// queue lists those that ask, in order.
+func (s *State) queue() (queue []rank) {
+	for _, t := range s.turns {
+		if t.Stage != Asked || s.now < t.Until || s.fleet[t.Host] == nil {
+			continue
+		}
+		if w, wanted := s.wanted(t.Host); wanted {
+			queue = append(queue, s.rank(t.Host, w))
+		}
+	}
+	slices.SortFunc(queue, rank.compare)
+	return queue
+}
+
+// give grants turns, in order, to all that the bounds let out. Only a look gives any: the evidence is
+// then as new as it can be.
+func (s *State) give(r *Result) {
+	if s.plan == nil || s.halted() || s.blind || s.now-s.seen > evidenceMost {
+		return
+	}
+	full := map[place]bool{} // zones that let nobody more out
+	for _, q := range s.queue() {
+		if full[place{q.m.Zone, q.m.Kind}] {
+			continue
+		}
+		switch b := s.barred(&s.yard, q.m, false, s.need(q.length), s.wall); b.bound {
+		case NoBound:
+			t := s.turns[q.host]
+			s.fence++
+			t.Fence, t.Until = s.fence, s.now+time.Duration(s.plan.plan.Grant)
+			s.turn(t, Granted)
+			r.Granted = append(r.Granted, t.Host)
+		case ByZone, ByState:
+			full[place{q.m.Zone, q.m.Kind}] = true
+		}
+	}
+}
