Add a disk that lies, for programs built for the lab alone

Since killing a process keeps the machine's page cache, a sync that was a lie loses nothing by itself: the layer notes before each step how to undo it, in files that outlive the process, and Lose makes of the disk what its power's end leaves: all undone since the last honest sync, the last write torn in the middle, or the disk as it was some honest syncs before. Besides, a disk turns bits on reading, is full, read-only, erring or stands still, as a folder named by LAB_DISK says.

Only the build tag lab links it: a test builds both programs and finds neither code nor variable in the deployed one, nor any effect of it.

--- /dev/null
+++ b/cmd/lockflow/disk.go
@@ -0,0 +1,8 @@
+//go:build !lab
+
+package main
+
+import "martennotch/internal/store/disk"
+
+// machineDisk is the file system under what the node keeps.
+func machineDisk() (disk.FS, error) { return disk.Machine{}, nil }
--- /dev/null
+++ b/cmd/lockflow/disk_lab.go
@@ -0,0 +1,19 @@
+//go:build lab
+
+package main
+
+import (
+	"os"
+
+	"martennotch/internal/store/disk"
+	"martennotch/internal/store/disk/lying"
+)
+
+// machineDisk is the file system under what the node keeps; where the stand-in platform names a
+// folder, one that fails as the platform says there.
+func machineDisk() (disk.FS, error) {
+	if dir := os.Getenv(lying.Variable); dir != "" {
+		return lying.New(disk.Machine{}, dir)
+	}
+	return disk.Machine{}, nil
+}
--- /dev/null
+++ b/cmd/lockflow/disk_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"martennotch/internal/store/disk/lying"
+)
+
+// The deployed program has nothing of the disk that fails: not its code, not its variable, and it
+// does nothing where that is set. The program built for the lab has it.
+func TestDeployedDiskIsTheMachines(t *testing.T) {
+	for _, tags := range []string{"", "lab"} {
+		bin := filepath.Join(t.TempDir(), "lockflow")
+		out, err := exec.Command("go", "build", "-tags", tags, "-o", bin, ".").CombinedOutput()
+		require.NoError(t, err, string(out))
+		raw, err := os.ReadFile(bin)
+		require.NoError(t, err)
+		symbols, err := exec.Command("go", "tool", "nm", bin).CombinedOutput()
+		require.NoError(t, err)
+		dir := filepath.Join(t.TempDir(), "drive")
+		cmd := exec.Command(bin) // it comes to the disk and ends at the socket, which is none
+		cmd.Env = append(os.Environ(), "NODE_CONFIG="+testConfig, "NODE_SOCKET_FD=99", lying.Variable+"="+dir)
+		require.Error(t, cmd.Run())
+		lab := tags == "lab"
+		require.Equal(t, lab, bytes.Contains(symbols, []byte("disk/lying")), "symbols with tags %q", tags)
+		require.Equal(t, lab, bytes.Contains(raw, []byte(lying.Variable)), "the variable with tags %q", tags)
+		require.Equal(t, lab, bytes.Contains(raw, []byte("disk/lying")), "paths with tags %q", tags)
+		_, err = os.Stat(dir)
+		require.Equal(t, lab, err == nil, "the folder with tags %q: %v", tags, err)
+	}
+}
--- a/cmd/lockflow/main.go
+++ b/cmd/lockflow/main.go
@@ -72,6 +72,9 @@
 	if err := cfg.FromEnvironment(os.Getenv); err != nil {
 		return err
 	}
+	if cfg.Disk, err = machineDisk(); err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(int(math.Max(1, math.Ceil(cfg.Cores))))
 	debug.SetGCPercent(collectAt)
 	if cfg.MemoryMB > 0 {
