Hold silence, pauses and answers of the list's watch to one budget of 6 s

Need: what a silent watch misses counts as told 6 s after it fell silent. Silence of 3 s, the herd's pauses (to 8 s) and an answer's 3 s were bounded each by itself.

Lists may come indented, so messages are read as JSON, not as lines; one that is begun is whole within 0.5 s. TestSilenceEndsWithinItsBudget, TestResetIsMendedWithinTheGrace and the indented line of TestWatchComesBack fail on the program before.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -21,10 +19,9 @@
 	}
 }
 
-func startWatch(t *testing.T, a *agent, rev int64, silence time.Duration) (<-chan listing, *watcher) {
+func startWatch(t *testing.T, a *agent, rev int64) (<-chan listing, *watcher) {
 	told := make(chan listing, 100)
-	w := newWatcher(a.addr(), listing{Rev: rev}, 2, 1, func(l listing) { told <- l })
-	w.silence = silence
+	w := newWatcher(a.addr(), listing{Rev: rev}, 2, time.Second, 1, func(l listing) { told <- l })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); w.run(ctx) }()
@@ -45,11 +42,12 @@
 		"no targets":         {`{"rev":44,"all":true}` + "\n", "from=43"},
 		"a time of no clock": {strings.Replace(strings.Replace(oneUp, "43", "44", 1), "1700000000000", "1e300", 1), "from=43"},
 		"a time below none":  {strings.Replace(strings.Replace(oneUp, "43", "44", 1), "1700000000000", "-5", 1), "from=43"},
+		"begun, not ended":   {`{"rev":` + "\n", "from=43"},
 		"counts anew":        {`{"rev":3,"targets":[]}` + "\n", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := newAgent(t)
-			told, _ := startWatch(t, a, 41, patience)
+			told, _ := startWatch(t, a, 41)
 			if q := next(t, a.asked); !strings.Contains(q, "watch=1&from=41") {
 				t.Errorf("asked %s", q)
 			}
@@ -59,14 +57,15 @@
 				t.Errorf("told %+v", l)
 			}
 			a.tell <- tc.line
-			if tc.line != "" {
+			if tc.line != "" && name != "begun, not ended" {
 				a.tell <- ""
 			}
 			q := next(t, a.asked)
 			if tc.from == "" && strings.Contains(q, "from") || !strings.Contains(q, tc.from) {
 				t.Errorf("asked %s", q)
 			}
-			a.tell <- strings.Replace(oneUp, "43", "45", 1)
+			// Lists may come indented.
+			a.tell <- "\n" + strings.NewReplacer("43", "45", "{", "{\n  ", ",", ",\n  ").Replace(oneUp)
 			if l := next(t, told); l.Rev != 45 {
 				t.Errorf("told %+v", l)
 			}
@@ -74,21 +73,11 @@
 	}
 }
 
-// A watch that says nothing is dead, though its connection is open.
-func TestSilentWatch(t *testing.T) {
-	a := newAgent(t)
-	startWatch(t, a, 41, 50*time.Millisecond)
-	next(t, a.asked)
-	if q := next(t, a.asked); !strings.Contains(q, "from=41") {
-		t.Errorf("asked %s", q)
-	}
-}
-
 // After a move the new discovery is asked for its whole list at once, whatever versions
 // the old one had come to, also where the old one is gone and a pause is on.
 func TestWatchMoves(t *testing.T) {
 	old, other := newAgent(t), newAgent(t)
-	told, w := startWatch(t, old, 41, patience)
+	told, w := startWatch(t, old, 41)
 	next(t, old.asked)
 	w.move(other.addr())
 	if q := next(t, other.asked); strings.Contains(q, "from") {
@@ -113,7 +102,7 @@
 		"watch=1": {},
 	} {
 		a := newAgent(t)
-		w := newWatcher(a.addr(), known, 2, 1, func(listing) {})
+		w := newWatcher(a.addr(), known, 2, time.Second, 1, func(listing) {})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); w.run(ctx) }()
@@ -125,44 +114,6 @@
 	}
 }
 
-// A herd spreads its first watches, over less time than that after which what it could have heard
-// binds it, and waits longer and longer, by chance, while discovery has
-// no room; a small group comes back soon.
-func TestHerdGivesDiscoveryTime(t *testing.T) {
-	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}))
-	defer full.Close()
-	for group, want := range map[int]struct{ first, least, most time.Duration }{
-		3:  {0, backoffFirst / 4, backoffMost},
-		36: {36 * herdTurn, 36 * herdTurn / 8, 2 * 36 * herdTurn},
-		// Half a second at least, so 600 calls a second of all at most while discovery has no room.
-		300: {herdMost, herdMost / 8, 2 * herdMost},
-	} {
-		w := newWatcher(full.Listener.Addr().String(), listing{Rev: 3}, group, 1, func(listing) {})
-		ctx, cancel := context.WithCancel(context.Background())
-		var pauses []time.Duration
-		w.jitter = func(most time.Duration) time.Duration { return most }
-		w.pause = func(_ context.Context, d time.Duration) {
-			if pauses = append(pauses, d); len(pauses) == 10 {
-				cancel()
-			}
-		}
-		w.run(ctx)
-		if pauses[0] != min(want.first, firstMost) {
-			t.Errorf("%d nodes: the first watch after %v", group, pauses[0])
-		}
-		for i, d := range pauses[1:] {
-			if d < want.least || d > want.most || i > 0 && d < pauses[i] {
-				t.Errorf("%d nodes: pauses %v", group, pauses)
-			}
-		}
-		if last := pauses[9]; last != want.most {
-			t.Errorf("%d nodes: the longest pause is %v, not %v", group, last, want.most)
-		}
-	}
-}
-
 // Nodes that hear of servers in another order know them by the same keys.
 func TestServersHaveTheSameKeyAtAllNodes(t *testing.T) {
 	a, b := target{UID: "s-1", State: "up"}, target{UID: "s-2", State: "up"}
@@ -180,9 +131,9 @@
 	first := map[time.Duration]bool{}
 	for seed := range uint64(300) {
 		pauses := func() (d []time.Duration) {
-			w := newWatcher("127.0.0.1:9", listing{Rev: 3}, 300, seed, func(listing) {})
+			w := newWatcher("127.0.0.1:9", listing{Rev: 3}, 300, time.Second, seed, func(listing) {})
 			for range 5 {
-				d = append(d, w.jitter(time.Second))
+				d = append(d, w.pace.jitter(time.Second))
 			}
 			return d
 		}
--- /dev/null
+++ b/internal/node/listwatch_test.go
@@ -0,0 +1,225 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// herd is a group of watchers at one discovery, on a clock of the test's own. Each watch is open
+// from the start and has heartbeats until a time at which all fall silent or break, and the list
+// changes.
+type herd struct {
+	mu      sync.Mutex
+	start   time.Time
+	quiet   time.Duration                         // when the watches fall silent
+	breaks  bool                                  // they are reset then
+	answer  func(n, nth int) (int, time.Duration) // how a call after that is answered, and how late
+	calls   []time.Duration                       // after that
+	of      map[int]int                           // calls of each node
+	word    map[int]time.Duration                 // the last that each node heard before
+	inForce map[int]time.Duration                 // when each had the change
+}
+
+func (h *herd) now() time.Duration { return time.Since(h.start) }
+
+// member is the way of one node to discovery.
+type member struct {
+	*herd
+	n     int
+	phase time.Duration
+}
+
+func (m member) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx := r.Context()
+	out, in := io.Pipe()
+	ok := &http.Response{StatusCode: http.StatusOK, Status: "200 OK", Body: out, Request: r}
+	beats := func(end time.Duration) {
+		for m.now() < end && ctx.Err() == nil {
+			io.WriteString(in, "\n")
+			m.mu.Lock()
+			m.word[m.n] = m.now()
+			m.mu.Unlock()
+			time.Sleep(2 * time.Second)
+		}
+	}
+	context.AfterFunc(ctx, func() { in.CloseWithError(ctx.Err()) })
+	if m.now() < m.quiet {
+		go func() {
+			time.Sleep(m.phase)
+			beats(m.quiet)
+		}()
+		if m.breaks {
+			time.AfterFunc(m.quiet-m.now(), func() { in.CloseWithError(io.ErrUnexpectedEOF) })
+		}
+		return ok, nil
+	}
+	m.mu.Lock()
+	m.of[m.n]++
+	nth := m.of[m.n]
+	m.calls = append(m.calls, m.now())
+	status, late := m.answer(m.n, nth)
+	m.mu.Unlock()
+	select {
+	case <-time.After(late):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if status != http.StatusOK {
+		return &http.Response{StatusCode: status, Status: fmt.Sprint(status), Body: http.NoBody, Request: r}, nil
+	}
+	go func() {
+		io.WriteString(in, `{"rev":2,"targets":[]}`+"\n")
+		for ctx.Err() == nil {
+			time.Sleep(2 * time.Second)
+			io.WriteString(in, "\n")
+		}
+	}()
+	return ok, nil
+}
+
+// play has a group watch for a while.
+func (h *herd) play(t *testing.T, group int, grace, length time.Duration) {
+	h.of, h.word, h.inForce = map[int]int{}, map[int]time.Duration{}, map[int]time.Duration{}
+	synctest.Test(t, func(t *testing.T) {
+		h.start = time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		rng := rand.New(rand.NewPCG(1, uint64(group)))
+		for n := range group {
+			w := newWatcher("a:1", listing{Rev: 1, Targets: []target{{}}}, group, grace, uint64(n), func(listing) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.inForce[n] = h.now()
+			})
+			w.client.Transport = member{h, n, time.Duration(rng.Int64N(int64(2 * time.Second)))}
+			all.Go(func() { w.run(ctx) })
+		}
+		time.Sleep(length)
+		cancel()
+		all.Wait()
+		time.Sleep(5 * time.Second) // the fakes' ends
+	})
+}
+
+// most gives the most calls of all within a span.
+func (h *herd) most(span time.Duration) int {
+	most := 0
+	for i, from := range h.calls {
+		n := 0
+		for _, c := range h.calls[i:] {
+			if c < from+span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// From the last word before silence to the list in force pass 6 s at most at every size of fleet, also where
+// discovery's line is full, or answers late, or where a call goes astray; and a herd does not call all at once.
+func TestSilenceEndsWithinItsBudget(t *testing.T) {
+	const quiet = 10 * time.Second
+	for _, group := range []int{3, 8, 60, 300} {
+		for name, answer := range map[string]func(h *herd, n, nth int) (int, time.Duration){
+			"at once":  func(*herd, int, int) (int, time.Duration) { return 200, 0 },
+			"2 s late": func(*herd, int, int) (int, time.Duration) { return 200, 2 * time.Second },
+			"one astray": func(_ *herd, _, nth int) (int, time.Duration) {
+				if nth == 1 {
+					return 200, time.Hour
+				}
+				return 200, 200 * time.Millisecond
+			},
+			// A line that is full for all until 5 s after the node's last word.
+			"full": func(h *herd, n, _ int) (int, time.Duration) {
+				if h.now() < h.word[n]+5*time.Second {
+					return 503, 0
+				}
+				return 200, 200 * time.Millisecond
+			},
+			// A line that has room for the group in two seconds, and for a sixth of it to wait.
+			"crowded": func() func(h *herd, n, _ int) (int, time.Duration) {
+				var free time.Duration
+				return func(h *herd, _, _ int) (int, time.Duration) {
+					free = max(free, h.now())
+					if free-h.now() > 2*time.Second/6 {
+						return 503, 0
+					}
+					free += 2 * time.Second / time.Duration(group)
+					return 200, free - h.now()
+				}
+			}(),
+		} {
+			t.Run(fmt.Sprint(name, " ", group), func(t *testing.T) {
+				h := &herd{quiet: quiet}
+				h.answer = func(n, nth int) (int, time.Duration) { return answer(h, n, nth) }
+				h.play(t, group, 2*time.Second, quiet+8*time.Second)
+				require.Equal(t, group, len(h.inForce), "nodes that have the change")
+				late := time.Duration(0)
+				for n := range group {
+					late = max(late, h.inForce[n]-h.word[n])
+				}
+				require.LessOrEqual(t, late, listTold)
+				if group >= herdLeast {
+					// No more than two in a node's turn, evenly by chance.
+					require.LessOrEqual(t, h.most(100*time.Millisecond), group/4+8)
+					require.LessOrEqual(t, h.most(time.Second), 3*group/2)
+				}
+				t.Logf("%v at most, %.1f calls a node, most %d a s", late, float64(len(h.calls))/float64(group), h.most(time.Second))
+			})
+		}
+	}
+}
+
+// A call that is made while discovery is down stays open: what the agent gets at the return is in
+// force at once, and few calls are made until then.
+func TestReturnOfDiscoveryIsHeardAtOnce(t *testing.T) {
+	for _, group := range []int{3, 300} {
+		h := &herd{quiet: 10 * time.Second}
+		back := h.quiet + 20*time.Second
+		h.answer = func(int, int) (int, time.Duration) { return 200, max(0, back-h.now()) }
+		h.play(t, group, 500*time.Millisecond, back+2*time.Second)
+		require.Equal(t, group, len(h.inForce))
+		for n := range group {
+			require.LessOrEqual(t, h.inForce[n]-back, 10*time.Millisecond)
+			require.LessOrEqual(t, h.of[n], 7)
+		}
+	}
+}
+
+// After a reset what the agent has counts at once: the next call comes well within the grace.
+func TestResetIsMendedWithinTheGrace(t *testing.T) {
+	for _, group := range []int{3, 300} {
+		h := &herd{quiet: 10 * time.Second, breaks: true}
+		h.answer = func(int, int) (int, time.Duration) { return 200, 0 }
+		h.play(t, group, 500*time.Millisecond, h.quiet+2*time.Second)
+		for n := range group {
+			require.LessOrEqual(t, h.inForce[n]-h.quiet, 125*time.Millisecond)
+		}
+	}
+}
+
+// A line that stays full is asked rarely: no sooner than in half of a second by each node on the
+// average, once the budget is spent; and a new process asks within half of the grace.
+func TestFullLineIsAskedRarely(t *testing.T) {
+	h := &herd{quiet: 0}
+	h.answer = func(int, int) (int, time.Duration) { return 503, 0 }
+	h.play(t, 300, time.Second, 40*time.Second)
+	require.LessOrEqual(t, h.calls[299], time.Second)
+	later := 0
+	for _, c := range h.calls {
+		if c > 10*time.Second {
+			later++
+		}
+	}
+	require.LessOrEqual(t, later, 300*30/4)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 		}
 		n.peers.Store(p)
 	}
-	n.discovery = newWatcher(cfg.Discovery, cfg.Known, cfg.Settings.GroupSize, cfg.Seed, func(news listing) {
+	n.discovery = newWatcher(cfg.Discovery, cfg.Known, cfg.Settings.GroupSize, cfg.Settings.DrainGrace, cfg.Seed, func(news listing) {
 		kind := control.Patch
 		if news.All {
 			kind = control.Whole
