Send on connections that stay open after SIGTERM in the lab, and judge what becomes of it

The lab's clients stopped sending to a node as soon as it said no, and sent again whatever had no attempt, so a node that reads requests after SIGTERM and drops them went unseen. Now each connection that stays open is sent on, up to SIGKILL; the kernel's word (reset, or end alone) tells a close that crosses an unread request from one over a request that was read, which is a loss.

A fake that drops what comes a second after SIGTERM is found; the same test fails when such a request is sent again (no loss seen). One that answers 500 there pays in refused and breaks nothing, an honest one loses nothing.

--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -78,13 +78,8 @@
 		}
 		t := &record.Try{ID: fmt.Sprintf("%016x", rng.Uint64()), Arrival: i, N: n, Customer: a.Customer, Class: a.Class,
 			Units: a.Units, True: a.True, Due: due, Left: left}
-		t.Node = c.Day.Pick(a.Customer, max(0, due), place, func(n int) bool { return c.Nodes[n].Up() })
 		c.Book.Begin(t)
-		if t.Node < 0 {
-			c.ended(t, record.Unsent, 0)
-		} else {
-			c.try(ctx, t, hasty, slow)
-		}
+		c.try(ctx, t, place, hasty, slow)
 		if t.End == record.Answered && t.Status == http.StatusOK || t.End == record.Left {
 			return
 		}
@@ -113,19 +108,38 @@
 
 func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
-// try sends one try. A request that crosses the close of a connection used before, and that the
-// node has not read, goes once more on a new one.
-func (c *Clients) try(ctx context.Context, t *record.Try, hasty, slow bool) {
-	n := c.Nodes[t.Node]
-	for fresh := false; ; fresh = true {
-		cn, err := n.get(ctx, fresh)
-		if err != nil {
-			c.ended(t, record.Unsent, 0)
-			return
+// place draws the node of a try among those that ok holds for; false where there is none.
+func (c *Clients) place(t *record.Try, x float64, ok func(*Node) bool) bool {
+	node := c.Day.Pick(t.Customer, max(0, t.Due), x, func(n int) bool { return ok(c.Nodes[n]) })
+	c.Book.With(func() { t.Node = node })
+	return node >= 0
+}
+
+// try sends one try, on a connection kept where there is one. A request that crosses the close of a
+// connection used before, and that the node has not read, goes once more on a new one, which the
+// front opens to a node that it sends to.
+func (c *Clients) try(ctx context.Context, t *record.Try, place float64, hasty, slow bool) {
+	if !c.place(t, place, (*Node).Takes) {
+		c.ended(t, record.Unsent, 0)
+		return
+	}
+	cn := c.Nodes[t.Node].kept()
+	for {
+		if cn == nil {
+			if !c.Nodes[t.Node].Up() && !c.place(t, place, (*Node).Up) {
+				c.ended(t, record.Unsent, 0)
+				return
+			}
+			var err error
+			if cn, err = c.Nodes[t.Node].dial(ctx); err != nil {
+				c.ended(t, record.Unsent, 0)
+				return
+			}
 		}
-		if c.exchange(t, n, cn, hasty, slow) || !cn.reused || c.read(t) || c.Killed(t.Node, t.Sent, c.Clock()) {
+		if c.exchange(t, c.Nodes[t.Node], cn, hasty, slow) || !cn.reused || c.read(t) || c.Killed(t.Node, t.Sent, c.Clock()) {
 			return
 		}
+		cn = nil
 	}
 }
 
@@ -135,10 +149,10 @@
 	return yes
 }
 
-// exchange writes a try on a connection and reads its answer; it gives false where the connection
-// ended with no byte of an answer.
+// exchange writes a try on a connection and reads its answer; it gives false where the node closed
+// the connection and had not read the try.
 func (c *Clients) exchange(t *record.Try, n *Node, cn *conn, hasty, slow bool) bool {
-	t.Fresh = !cn.reused
+	t.Fresh, t.Kept = !cn.reused, cn.reused && !n.Up()
 	if _, err := cn.Write(c.message(t)); err != nil {
 		cn.Close()
 		c.ended(t, record.Unsent, 0)
@@ -165,13 +179,14 @@
 	}
 	if _, err := cn.in.Peek(1); err != nil {
 		over.Do(func() {})
+		unread := cn.unread(err)
 		cn.Close()
 		if unheard != record.Open {
 			c.ended(t, unheard, 0)
 			return true
 		}
 		c.ended(t, record.Broken, 0)
-		return false
+		return !unread
 	}
 	resp, err := http.ReadResponse(cn.in, nil)
 	var body []byte
@@ -215,13 +230,12 @@
 
 func (c *Clients) answered(t *record.Try, resp *http.Response, body []byte) {
 	refused := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-	room := refused && c.Ledger.Room(t.Customer, c.Clock()) >= roomPart
 	genuine := false
 	c.Book.With(func() {
 		for _, a := range t.Attempts {
 			genuine = genuine || string(body) == origin.Answer(t.ID, a.Server)
 		}
-		t.Genuine, t.Room = genuine, room
+		t.Genuine = genuine
 		t.Advice = refused && resp.Header.Get("Retry-After") != ""
 	})
 	c.ended(t, record.Answered, resp.StatusCode)
@@ -230,5 +244,6 @@
 func (c *Clients) ended(t *record.Try, e record.End, status int) {
 	now := c.Clock()
 	killed := t.Node >= 0 && c.Killed(t.Node, t.Due, now)
-	c.Book.With(func() { t.End, t.Status, t.Ended, t.NodeKilled = e, status, now, killed })
+	room := e != record.Unsent && status != http.StatusOK && c.Ledger.Room(t.Customer, now) >= roomPart
+	c.Book.With(func() { t.End, t.Status, t.Ended, t.NodeKilled, t.Room = e, status, now, killed, room })
 }
--- a/internal/lab/client/front.go
+++ b/internal/lab/client/front.go
@@ -7,8 +7,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"martennotch/internal/lab/link"
@@ -20,6 +22,7 @@
 	noAfter   = 200 * time.Millisecond // a node that says no gets no new connections from then on
 	idleKept  = 64                     // connections to a node that a client side keeps
 	dialLimit = 2 * time.Second
+	resetWait = 20 * time.Millisecond // for a reset that follows an end: a busy kernel delivers it late
 )
 
 // Node is an edge node as the front sees it.
@@ -29,6 +32,7 @@
 	Path    *link.Path
 	Notice  time.Duration // by which the front is late to see a death
 	up      atomic.Bool
+	leaves  atomic.Bool // it has said no since it was last up, as after SIGTERM
 	mu      sync.Mutex
 	idle    []*conn
 }
@@ -36,6 +40,25 @@
 // Up tells whether the front sends to the node.
 func (n *Node) Up() bool { return n.up.Load() }
 
+// Takes tells whether clients send to the node: the front does, or a connection is kept that stays
+// open at a node that has said no.
+func (n *Node) Takes() bool {
+	if n.Up() {
+		return true
+	}
+	if !n.leaves.Load() {
+		return false
+	}
+	c := n.kept()
+	if c == nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.idle = append([]*conn{c}, n.idle...)
+	return true
+}
+
 // Watch follows a node's /healthz until ctx ends: a node is taken in at its first yes, left soon
 // after a no, and after its notice when it is silent or dead.
 func (n *Node) Watch(ctx context.Context) {
@@ -49,8 +72,12 @@
 		switch yes, err := ask(ctx, c, n.Address); {
 		case yes:
 			good = time.Now()
+			n.leaves.Store(false)
 			n.up.Store(true)
-		case err == nil && time.Since(good) > noAfter, time.Since(good) > n.Notice:
+		case err == nil && time.Since(good) > noAfter:
+			n.leaves.Store(true)
+			n.up.Store(false)
+		case time.Since(good) > n.Notice:
 			n.up.Store(false)
 		}
 		select {
@@ -81,21 +108,29 @@
 	reused bool
 }
 
-// get gives an idle connection or opens one.
-func (n *Node) get(ctx context.Context, fresh bool) (*conn, error) {
+// kept gives an idle connection that is open, or nil. At a node that leaves it is the one idle for
+// longest, so that each that stays open is sent on.
+func (n *Node) kept() *conn {
 	n.mu.Lock()
-	for !fresh && len(n.idle) > 0 {
-		c := n.idle[len(n.idle)-1]
-		n.idle = n.idle[:len(n.idle)-1]
-		if c.closed() {
-			c.Close()
-			continue
+	defer n.mu.Unlock()
+	for len(n.idle) > 0 {
+		last := len(n.idle) - 1
+		if n.leaves.Load() {
+			last = 0
 		}
-		n.mu.Unlock()
-		c.reused = true
-		return c, nil
+		c := n.idle[last]
+		n.idle = slices.Delete(n.idle, last, last+1)
+		if !c.closed() {
+			c.reused = true
+			return c
+		}
+		c.Close()
 	}
-	n.mu.Unlock()
+	return nil
+}
+
+// dial opens a connection.
+func (n *Node) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
 	c, err := n.Path.Dial(ctx, n.Address)
@@ -105,6 +140,31 @@
 	return &conn{Conn: c, in: bufio.NewReader(c)}, nil
 }
 
+// unread tells, of a connection that ended with no byte of an answer, that the node had not read
+// the request: a close over unread bytes is a reset, and what comes after a close is answered by
+// one, which the socket keeps as its error behind the end that was read. A node that has read all
+// and closes sends an end alone.
+func (c *conn) unread(err error) bool {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed) { // the last is the link's
+		return true
+	}
+	tcp, ok := c.Conn.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	for until := time.Now().Add(resetWait); ; time.Sleep(time.Millisecond) {
+		kept := 0
+		err = raw.Control(func(fd uintptr) { kept, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+		if err != nil || kept != 0 || time.Now().After(until) {
+			return err == nil && kept != 0
+		}
+	}
+}
+
 // closed tells whether the node has ended an idle connection, as a client that reads would know.
 func (c *conn) closed() bool {
 	c.Conn.Conn.SetReadDeadline(time.Now().Add(10 * time.Microsecond))
--- a/internal/lab/client/improper.go
+++ b/internal/lab/client/improper.go
@@ -36,7 +36,7 @@
 }
 
 func (c *Clients) bother(ctx context.Context, n *Node, text string) {
-	cn, err := n.get(ctx, true)
+	cn, err := n.dial(ctx)
 	if err != nil {
 		return
 	}
--- a/internal/lab/fake_test.go
+++ b/internal/lab/fake_test.go
@@ -8,9 +8,11 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,6 +39,8 @@
 	servers  []discovery.Target
 	n        atomic.Int64
 	upstream http.Client
+	no       atomic.Bool // it is not ready: SIGTERM has come
+	last     atomic.Bool // a while after
 }
 
 func runFake(how string) {
@@ -65,6 +69,14 @@
 	if how != "improper" {
 		h.ReadHeaderTimeout = 2 * time.Second
 	}
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM)
+	go func() {
+		<-term
+		f.no.Store(true)
+		time.Sleep(time.Second)
+		f.last.Store(true)
+	}()
 	panic(h.ListenAndServe())
 }
 
@@ -117,12 +129,22 @@
 
 func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
+		if f.no.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
 	post, tenth := r.Method == http.MethodPost, f.n.Add(1)%10 == 0
 	a, b := f.pick()
-	switch {
+	switch last := f.last.Load(); {
+	case last && f.how == "drops":
+		panic(http.ErrAbortHandler)
+	case last && f.how == "fails":
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case last:
+		w.Header().Set("Connection", "close")
 	case f.how == "lost" && tenth:
 		time.Sleep(time.Minute)
 	case f.how == "broken" && tenth:
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -16,7 +16,7 @@
 const (
 	slack       = 50 * time.Millisecond // of every limit on sockets
 	toldAtMost  = 6 * time.Second       // after which a change of the list counts as told
-	freshLost   = 200                   // one in so many first requests of a connection may be closed on
+	freshLost   = 200                   // one in so many requests may have its new connection closed with no answer
 	improperFor = 3 * time.Second
 	improperTop = 0.02                 // part of improper peers that may wait longer, as machines hiccup
 	lateSend    = 5 * time.Millisecond // a send of the generator that counts as late
@@ -66,36 +66,44 @@
 }
 
 func (j *judge) tries() {
-	fresh, closed := 0, 0
+	closed := 0
 	for _, t := range j.book.Order {
 		slices.SortFunc(t.Attempts, func(a, b *record.Attempt) int { return cmp.Compare(a.Last, b.Last) })
-		if t.Fresh {
-			fresh++
-		}
-		refused := t.Status == 429 || t.Status == 503
+		said := t.Status == 429 || t.Status == 503
 		switch {
 		case t.NodeKilled: // whoever kills a node answers for what it held
 		case t.End == record.Unheard:
 			j.v.broke("lost", "%s: no answer by %v, %v after its time", t.ID, t.Ended, t.Ended-t.Sent-t.Left)
-		case t.End == record.Broken && t.Fresh:
+		case closedNew(t):
 			closed++
 		case t.End == record.Broken:
 			j.v.broke("lost", "%s: its connection ended at %v with no whole answer", t.ID, t.Ended)
 		case t.End == record.Answered && t.Status == 200 && !t.Genuine:
 			j.v.broke("lost", "%s: served with what no server made", t.ID)
-		case refused && j.day.File.Rules.RetryAfter && !t.Advice:
+		case said && j.day.File.Rules.RetryAfter && !t.Advice:
 			j.v.broke("advice", "%s: refused without Retry-After", t.ID)
 		}
-		if refused && !j.harmless(t) {
+		if said && !j.harmless(t) {
 			j.v.broke("refusal", "%s: refused at %v though it may have run", t.ID, t.Ended)
 		}
 		j.duplicates(t)
 	}
-	if closed*freshLost > fresh && closed > 1 {
-		j.v.broke("lost", "%d of %d first requests of a connection were closed on", closed, fresh)
+	if n := len(j.book.Order); closed*freshLost > n {
+		j.v.broke("lost", "%d of %d requests had their new connection closed with no answer", closed, n)
 	}
 }
 
+// closedNew tells whether a try that was never sent on had its new connection closed on it. Such a
+// one counts as refused.
+func closedNew(t *record.Try) bool {
+	return t.End == record.Broken && t.Fresh && len(t.Attempts) == 0 && !t.NodeKilled
+}
+
+// refused tells whether a try was refused, or counts as refused: it was never sent on, and failed.
+func refused(t *record.Try) bool {
+	return t.Status == 429 || t.Status == 503 || closedNew(t) || t.End == record.Answered && t.Status != 200 && len(t.Attempts) == 0
+}
+
 // ran tells whether an attempt may have run, as far as anybody but its server knows.
 func ran(a *record.Attempt) bool { return a.Outcome != record.Away }
 
--- a/internal/lab/judge/price.go
+++ b/internal/lab/judge/price.go
@@ -72,7 +72,7 @@
 	offered := j.offered()
 	served := make([]float64, len(offered)) // in time and inside the quota
 	j.v.Series = make([]Second, int(math.Ceil(j.day.Length.Seconds())))
-	var n, refused, room, over, units, overCost, attempts, cross, open, work, waste float64
+	var n, no, room, kept, late, over, units, overCost, attempts, cross, open, work, waste float64
 	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	for _, t := range j.book.Order {
 		a := &j.day.Arrivals[t.Arrival]
@@ -93,14 +93,16 @@
 		}
 		sec := &j.v.Series[min(len(j.v.Series)-1, int(max(0, t.Due).Seconds()))]
 		sec.Tries++
+		kept += btof(t.Kept)
+		late += btof(lateUnsent(t)) * j.worth(t.Arrival)
 		switch {
 		case t.End == record.Answered && t.Status == 200:
 			h.RecordValue(max(1, int64((t.Ended-t.Due)/time.Microsecond)))
 			if t.Inside && t.Ended-a.At <= time.Duration(j.day.Classes[t.Class].AimMS*float64(time.Millisecond)) {
 				served[t.Arrival] = j.worth(t.Arrival)
 			}
-		case t.Status == 429 || t.Status == 503:
-			refused++
+		case refused(t):
+			no++
 			sec.Refused++
 			room += btof(t.Room)
 		case t.End == record.Unsent:
@@ -111,8 +113,10 @@
 	total := max(sum(offered), 1e-9)
 	j.add("over_units", over/max(units, 1), "of units sent on")
 	j.add("over_cost", overCost/total, "of worth offered")
-	j.add("refused", refused/max(n, 1), "of tries")
+	j.add("late_unsent_cost", latePart*late/total, "of worth offered")
+	j.add("refused", no/max(n, 1), "of tries")
 	j.add("refused_with_room", room/max(n, 1), "of tries")
+	j.add("kept", kept/max(n, 1), "of tries, on connections that stayed open at nodes that leave")
 	j.add("unsent", open/max(n, 1), "of tries")
 	j.add("tries", n, "")
 	j.add("attempts", attempts/max(n, 1), "a try")
@@ -129,6 +133,17 @@
 	j.lateness()
 }
 
+// latePart is the part of its worth that a try costs of which nothing was sent on and whose answer
+// came after more than half of its time, or never.
+const latePart = 0.3
+
+func lateUnsent(t *record.Try) bool {
+	if len(t.Attempts) > 0 || t.End == record.Unsent || t.End == record.Left || t.NodeKilled || t.End == record.Answered && t.Status == 200 {
+		return false
+	}
+	return t.End != record.Answered || t.Ended-t.Sent > t.Left/2
+}
+
 // slowedAfter and slowedSpan are when, after a server turned slow, its sends are counted, and for how
 // long; and how long before.
 const (
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
+
 	"martennotch/internal/lab/judge"
 	"martennotch/internal/lab/scenario"
 )
@@ -85,6 +87,26 @@
 	}
 }
 
+// Clients send on each connection that stays open after SIGTERM: a node that reads such a request and
+// closes on it is found, and one that answers it as failed pays as for a refusal.
+func TestRequestsAfterSIGTERMAreSentAndJudged(t *testing.T) {
+	ends := lines("[[fault]]", `kind = "restart"`, "at_s = 1", "share = 0.5")
+	for how, lost := range map[string]bool{"honest": false, "drops": true, "fails": false} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			v := playFake(t, how, small(t, "seconds = 6", ends))
+			assert.Equal(t, lost, v.Count["lost"] > 0, "%v", v.Broken)
+			assert.Greater(t, v.Figures.Get("kept"), 0.0)
+			if how == "fails" {
+				assert.Greater(t, v.Figures.Get("refused"), 0.1) // half of the nodes for half of the day
+			}
+			for rule := range v.Count {
+				assert.Equal(t, "lost", rule, "%v", v.Broken)
+			}
+		})
+	}
+}
+
 // A node that grants all that is asked sends on what is beyond quotas; the judge's own account of
 // the stores shows it.
 func TestJudgeFindsGrantsBeyondQuota(t *testing.T) {
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -47,6 +47,7 @@
 	Sent          time.Duration // its last byte was written
 	Left          time.Duration // that the client will wait from then
 	Fresh         bool          // the first request on its connection
+	Kept          bool          // on a connection that stayed open at a node that had said no
 	End           End
 	Status        int
 	Genuine       bool // the body is one that a server made for this try
@@ -55,7 +56,7 @@
 	NodeKilled    bool // its node was killed while it was out
 	Attempts      []*Attempt
 	Inside, Taken bool // of the quota: its first attempt was inside; it has had one
-	Room          bool // at a refusal: half of the store was unused
+	Room          bool // where it was not served: half of the store was unused
 }
 
 // Attempt is one copy of a try that reached a server whole.
