Let operators' rules change a request's course, each request by one version

A compiled rule set reaches control as an event: prices in W, factors on quotas by plan and customer, limits on the bound and on attempts, zones closed by hand and the cost between zones. A request keeps the version that it began under over its retries; limits are never looser than the settings.

--- a/control/api.go
+++ b/control/api.go
@@ -254,6 +254,21 @@
 // have all of it; 1 is to send there only where nothing else is.
 type Zones struct{ Away map[string]float64 }
 
+// Rules puts a version of the operators' rules in force, in place of the one before. What it does not
+// name is as in the settings; a zero one is the settings alone. A request goes by the version that was
+// in force when it began, to its end. What the fields hold may not change afterwards.
+type Rules struct {
+	Version   uint64
+	Price     []float64          // by plan; NaN is the settings'
+	Quota     []float64          // by plan: times the settings' rate and depth
+	Customers map[string]float64 // by plan, a space and customer: in place of Quota
+	Attempts  []int              // by class: of one request at most, if the settings allow as many; 0 is no limit
+	InFlight  int                // attempts at work at once at most, if the settings allow as many; 0 is no limit
+	Closed    []string           // zones that get nothing new where another is open
+	Cost      map[string]float64 // by zone: what an attempt that comes from another one costs, in worth
+}
+
+func (Rules) isEvent()       {}
 func (Zones) isEvent()       {}
 func (Hearsay) isEvent()     {}
 func (List) isEvent()        {}
--- a/control/attempts.go
+++ b/control/attempts.go
@@ -123,7 +123,7 @@
 		price = min(1, max(retryLeast, (c.now-a.sent).Seconds()/max(c.latency, tiny)))
 	}
 	ok := why != Moot && !e.Spent && c.retries >= price && c.now < r.giveUp-time.Millisecond &&
-		(c.set.SendCap == 0 || r.sends < c.set.SendCap)
+		(c.mostSends(r) == 0 || r.sends < c.mostSends(r))
 	if r.mayRun && r.class.Effect != Free {
 		ok = ok && c.dropped(r) && c.now < r.firstRun+r.class.RepeatWindow
 	}
--- a/control/choice.go
+++ b/control/choice.go
@@ -26,13 +26,13 @@
 // cold it shares them by chance, each as often as its speed and warmth are of the sum.
 func (c *Controller) pick(r *request) *server {
 	var best *server
-	bestCost, u := math.Inf(1), c.drawn()
+	bestCost, u, out := math.Inf(1), c.drawn(), c.keepsOut(r)
 	chance := c.herd() && c.count(func(s *server) bool { return s.usable() && s.coldRamp }) > 0
 	for _, s := range c.order {
-		if !s.usable() || !c.sameGroup(r, s) || !c.coldRoom(s, r.units) {
+		if !s.usable() || !c.sameGroup(r, s) || out && r.rules.closed(s) || !c.coldRoom(s, r.units) {
 			continue
 		}
-		cost := c.cost(s)
+		cost := c.cost(s) + c.far(r, s)
 		if chance {
 			cost *= math.Pow(c.rng.ExpFloat64(), chanceMild)
 		}
--- a/control/controller.go
+++ b/control/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -52,6 +53,8 @@
 	nextInterval      time.Duration
 	law               *shareLaw
 	away              map[string]float64 // by zone, the part that stays away
+	rules             *Rules             // in force
+	most              float64            // that the rules let the bound be
 	following         bool
 	askAt             time.Duration
 	nextReport        time.Duration
@@ -108,7 +111,7 @@
 		pl := &plan{Plan: p, index: i, share: 1 / float64(len(s.Plans))}
 		c.plans, c.planOf[p.Name], prices[i] = append(c.plans, pl), pl, p.Price
 	}
-	c.law = newShareLaw(prices)
+	c.law, c.rules, c.most = newShareLaw(prices), &Rules{}, math.Inf(1)
 	return c, nil
 }
 
@@ -152,6 +155,8 @@
 		c.onHearsay(e)
 	case Zones:
 		c.away = e.Away
+	case Rules:
+		c.onRules(e)
 	}
 	c.pump()
 	return c.out
--- a/control/customers.go
+++ b/control/customers.go
@@ -9,8 +9,10 @@
 	key := p.Name + " " + id
 	q := c.custs[key]
 	if q == nil {
-		q = &customer{plan: p, at: c.now, seenFrom: c.now, level: c.whole() * p.Depth, carry: c.rng.Float64(),
-			spread: max(1, float64(spread)), smooth: usePrior * p.Rate}
+		q = &customer{plan: &p.Plan, at: c.now, seenFrom: c.now, carry: c.rng.Float64(),
+			spread: max(1, float64(spread))}
+		c.allow(q, key)
+		q.level, q.smooth = c.whole()*q.plan.Depth, usePrior*q.plan.Rate
 		// Just started, the ceiling's store has the slack only: what a former self passed on is not known.
 		q.ceiling = c.whole() * (ceilingStart*p.CeilingSlack + (c.now-c.start).Seconds()*p.CeilingRate) / q.spread
 		q.openCap = c.whole() * float64(p.Open) / q.spread
--- a/control/figures.go
+++ b/control/figures.go
@@ -23,6 +23,7 @@
 
 	chanceMax    = 0.95             // highest chance of refusal
 	retryAfter   = time.Second      // advice in a refusal
+	quotaLeast   = 1e-6             // part of a quota that rules leave at least
 	lagFirst     = 8                // bins by which a metered period is taken to be told late until learned
 	lagMost      = 66               // bins of lateness that are considered
 	lagKeep      = 0.99             // what the misfit of a lateness keeps at each answer
--- a/control/handover.go
+++ b/control/handover.go
@@ -83,8 +83,9 @@
 	c.split(true)
 	for k, q := range c.custs {
 		c.refill(q)
+		most := 2 * c.planOf[q.plan.Name].Depth // the other one begins without rules
 		h.Customers[k] = handoverCustomer{Plan: q.plan.Name, Key: k, Spread: q.spread, SeenFrom: q.seenFrom, At: q.at,
-			ToldAt: q.toldAt, TriesAt: q.triesAt, Level: q.level, Ceiling: q.ceiling, OpenCap: q.openCap,
+			ToldAt: q.toldAt, TriesAt: q.triesAt, Level: max(-most, min(q.level, most)), Ceiling: q.ceiling, OpenCap: q.openCap,
 			Chance: q.chance, Carry: q.carry, Metered: q.metered, Base: q.base, LastUsed: q.lastUsed, Tries: q.tries,
 			Told: q.told, ToldFor: q.toldFor, Cover: q.cover, OwnSum: q.ownSum, AllSum: q.allSum, Smooth: q.smooth,
 			ReadEnd: q.readEnd, Own: q.own.save(), Charged: q.charged.save(), Asked: q.asked.save(), Refused: q.refused.save()}
@@ -216,7 +217,7 @@
 	}
 	for k, o := range h.Customers {
 		p := c.planOf[o.Plan]
-		q := &customer{plan: p, spread: o.Spread, seenFrom: o.SeenFrom, at: o.At, toldAt: o.ToldAt, triesAt: o.TriesAt,
+		q := &customer{plan: &p.Plan, spread: o.Spread, seenFrom: o.SeenFrom, at: o.At, toldAt: o.ToldAt, triesAt: o.TriesAt,
 			level: o.Level, ceiling: o.Ceiling, openCap: o.OpenCap, chance: o.Chance, carry: o.Carry, metered: o.Metered,
 			base: o.Base, lastUsed: o.LastUsed, tries: o.Tries, told: o.Told, toldFor: o.ToldFor, cover: o.Cover,
 			ownSum: o.OwnSum, allSum: o.AllSum, smooth: o.Smooth, readEnd: o.ReadEnd}
@@ -225,6 +226,7 @@
 		q.charged.load(o.Charged, last)
 		q.asked.load(o.Asked, last)
 		q.refused.load(o.Refused, last)
+		c.allow(q, k)
 		c.custs[k] = q
 	}
 	return nil
--- a/control/interval.go
+++ b/control/interval.go
@@ -44,7 +44,7 @@
 	} else if bad <= badHold && c.pressed {
 		c.bound *= boundUp
 	}
-	c.bound = max(c.bound, c.floor())
+	c.bound = max(min(c.bound, c.most), c.floor())
 	ys, us := make([]float64, len(c.plans)), make([]float64, len(c.plans))
 	for i, p := range c.plans {
 		ys[i], us[i] = p.late(), p.share
--- a/control/law.go
+++ b/control/law.go
@@ -9,13 +9,18 @@
 
 func newShareLaw(prices []float64) *shareLaw {
 	l := &shareLaw{n: len(prices), w: mat.NewDiagDense(len(prices), nil)}
+	l.weigh(prices)
+	l.reset()
+	return l
+}
+
+// weigh sets W by the plans' prices.
+func (l *shareLaw) weigh(prices []float64) {
 	for i, p := range prices {
 		if l.w.SetDiag(i, 1); floats.Sum(prices) > 0 {
 			l.w.SetDiag(i, p*float64(l.n)/floats.Sum(prices))
 		}
 	}
-	l.reset()
-	return l
 }
 
 func (l *shareLaw) reset() {
--- a/control/ledger.go
+++ b/control/ledger.go
@@ -6,7 +6,8 @@
 )
 
 type customer struct {
-	plan           *plan
+	plan           *Plan   // with the quota that the rules in force give
+	quota          float64 // times the settings'
 	spread         float64
 	at             time.Duration // of the levels
 	seenFrom       time.Duration
--- a/control/meter.go
+++ b/control/meter.go
@@ -9,7 +9,7 @@
 		return
 	}
 	c.refill(q)
-	pct := float64(told - 1)
+	pct := float64(told-1) / q.quota // the meter knows the settings' quota only
 	used := pct / 100 * q.plan.Rate * c.set.MeterPeriod.Seconds()
 	if q.plan.Rate > 0 {
 		c.clock.learn(q, used, units, q.part(), c.binNow())
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -26,6 +26,8 @@
 	next     int
 	ceilings map[string]float64
 	ceilAt   map[string]time.Duration
+	rules    *Rules // in force; nil draws none
+	late     int    // further attempts under rules that are no longer in force
 }
 
 type ask struct {
@@ -40,6 +42,7 @@
 	firstRun  time.Duration
 	firstSrv  uint32
 	cancelled bool
+	rules     Rules // in force when it began
 }
 
 type flight struct {
@@ -120,6 +123,7 @@
 			w.t.Fatalf("%s may have run and was sent again outside its group or window", a.ID)
 		}
 	}
+	w.ruled(r, a)
 	if r.sends == 0 && r.plan == "ceil" {
 		w.drawCeiling(r)
 	}
@@ -221,6 +225,9 @@
 			i = -1
 		}
 	}
+	if w.rules != nil && w.rng.IntN(50) == 0 {
+		w.change()
+	}
 	switch k := w.rng.IntN(100); {
 	case k < 45:
 		w.arrive()
@@ -257,13 +264,16 @@
 	k := w.set.Classes[w.rng.IntN(len(w.set.Classes))]
 	r := &ask{class: k, plan: w.set.Plans[w.rng.IntN(4)].Name, customer: fmt.Sprint("k", w.rng.IntN(6)),
 		units: float64(1 + w.rng.IntN(3)), end: w.now + time.Duration(300+w.rng.IntN(3000))*ms}
+	if w.rules != nil {
+		r.rules = *w.rules
+	}
 	id := fmt.Sprint("r", w.next)
 	w.open[id] = r
 	w.handle(Request{ID: id, Class: k.Name, Plan: r.plan, Customer: r.customer, TTL: r.end - w.now,
 		Units: r.units, Spread: 1 + w.rng.IntN(90)}) // the spread may change within a day
 }
 
-func play(t *testing.T, seed uint64, steps int) *world {
+func play(t *testing.T, seed uint64, steps int, first ...Rules) *world {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	w := &world{t: t, rng: rng, set: varied(rng), now: time.Hour, members: map[uint32]*Member{},
@@ -277,6 +287,12 @@
 	l := w.list()
 	l.Kind = Stale
 	w.handle(l)
+	for i, e := range first {
+		w.handle(e)
+		if w.log = w.log[:len(w.log)-1]; i+1 == len(first) && e.Version > 0 {
+			w.rules = &first[i]
+		}
+	}
 	for i := 0; i < steps; i++ {
 		w.step()
 	}
--- a/control/requests.go
+++ b/control/requests.go
@@ -17,8 +17,8 @@
 		c.refuse(e.ID)
 		return
 	}
-	r := &request{id: e.ID, class: k, plan: p, cust: q, units: e.Units, long: e.Long, arrived: c.now,
-		aim: c.now + k.Aim - waited, giveUp: c.now + e.TTL}
+	r := &request{id: e.ID, class: k, plan: p, cust: q, rules: c.rules, units: e.Units, long: e.Long,
+		arrived: c.now, aim: c.now + k.Aim - waited, giveUp: c.now + e.TTL}
 	c.reqs[r.id] = r
 	c.retries = min(c.retryRoom(), c.retries+retryEarn)
 	c.enqueue(r, false)
--- /dev/null
+++ b/control/rules_test.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// change draws other rules, or the settings alone.
+func (w *world) change() {
+	e := Rules{}
+	if w.rng.IntN(4) > 0 {
+		e = Rules{Version: w.rules.Version + 1, InFlight: w.rng.IntN(7), Cost: map[string]float64{"z2": w.rng.Float64()},
+			Customers: map[string]float64{"rate k1": 2 * w.rng.Float64()}}
+		for range w.set.Classes {
+			e.Attempts = append(e.Attempts, w.rng.IntN(9)) // more than the settings too
+		}
+		for range w.set.Plans {
+			e.Price, e.Quota = append(e.Price, 3*w.rng.Float64()), append(e.Quota, 2*w.rng.Float64())
+		}
+		for _, zone := range []string{"z1", "z2"} {
+			if w.rng.IntN(3) == 0 {
+				e.Closed = append(e.Closed, zone)
+			}
+		}
+	}
+	w.rules = &e
+	w.handle(e)
+}
+
+// ruled holds a send to the rules that its request began under, and to the bound of those in force.
+func (w *world) ruled(r *ask, a Send) {
+	require.Equal(w.t, r.rules.Version, w.c.Version(a.ID), "%s goes by another version than it began under", a.ID)
+	if w.rules == nil {
+		return
+	}
+	if r.sends > 0 && r.rules.Version != w.rules.Version {
+		w.late++
+	}
+	if n := w.rules.InFlight; n > 0 {
+		require.Less(w.t, len(w.out), n, "attempts out before one that is sent")
+	}
+	class := slices.IndexFunc(w.set.Classes, func(k Class) bool { return k.Name == r.class.Name })
+	if class < len(r.rules.Attempts) && r.rules.Attempts[class] > 0 {
+		require.Less(w.t, r.sends, r.rules.Attempts[class], "attempts before one that is sent")
+	}
+	if !slices.Contains(r.rules.Closed, w.members[a.Server].Zone) {
+		return
+	}
+	for id, m := range w.members {
+		group := !r.mayRun || r.class.Effect != Guarded || r.class.KeyScope == ScopeAll ||
+			r.class.KeyScope == ScopeCell && m.Cell == w.members[r.firstSrv].Cell
+		if group && !w.toldBad[id] && !slices.Contains(r.rules.Closed, m.Zone) {
+			w.t.Fatalf("%s went to closed zone %s, server %d is open to it", a.ID, w.members[a.Server].Zone, id)
+		}
+	}
+}
+
+// Whenever rules change, a request keeps the version that it began under, over retries too; limits
+// hold and are never looser than the settings; a closed zone gets nothing while another is open.
+func TestRequestsKeepTheirRules(t *testing.T) {
+	late := 0
+	for seed := uint64(1); seed <= 40; seed++ {
+		late += play(t, seed, 2500, Rules{Version: 1}).late
+	}
+	assert.Greater(t, late, 200, "further attempts under rules that are no longer in force")
+}
+
+// A zero version restores the settings: the same decisions as without any rules.
+func TestZeroRulesAreTheSettings(t *testing.T) {
+	rules := Rules{Version: 3, Price: []float64{9, 1, 1, 1}, Quota: []float64{0.1, 1, 0.1, 0.1}, InFlight: 1,
+		Attempts: []int{1, 1, 1, 1, 1, 1, 1, 1, 1}, Closed: []string{"z1"}, Cost: map[string]float64{"z2": 1}}
+	differ := 0
+	for seed := uint64(1); seed <= 10; seed++ {
+		plain := play(t, seed, 1500).log
+		assert.Equal(t, plain, play(t, seed, 1500, rules, Rules{}).log, "seed %d", seed)
+		with := play(t, seed, 20, Rules{Version: 3, InFlight: 1}).log
+		if !slices.Equal(plain[:min(len(plain), len(with))], with) {
+			differ++
+		}
+	}
+	assert.Greater(t, differ, 5, "rules that hold a gateway to one request at a time change nothing")
+}
+
+// What rules multiply a quota by holds for its rate over time, for one customer in place of its plan's;
+// nothing lets nothing through. What the meter tells is a part of the settings' quota.
+func TestRulesMultiplyQuotas(t *testing.T) {
+	s := settings()
+	s.GroupSize, s.Plans[0].Rate, s.Plans[0].Depth = 1, 10, 10
+	g := newGate(t, s, on(1, 2, 3, 4)...)
+	g.do(Rules{Version: 1, Quota: []float64{0.5, 1}, Customers: map[string]float64{"low double": 2, "low none": 0}})
+	sent := map[string]int{}
+	const secs = 40
+	for i := range secs * 25 {
+		for _, name := range []string{"half", "double", "none"} {
+			id := fmt.Sprint(name, i)
+			g.do(Request{ID: id, Class: "job", Plan: "low", Customer: name, TTL: 5 * time.Second, Units: 1, Spread: 1})
+			if g.n[id] > 0 {
+				sent[name]++
+				g.reply(id, OK, 0)
+			}
+		}
+		g.pass(40 * ms)
+	}
+	assert.InDelta(t, 5*secs, sent["half"], 0.2*5*secs)
+	assert.InDelta(t, 20*secs, sent["double"], 0.2*20*secs)
+	assert.Zero(t, sent["none"])
+
+	q := g.c.customerOf(g.c.plans[0], "double", 1)
+	g.c.clock.lag = 0
+	g.now += 3 * time.Second
+	g.c.now = g.now
+	g.c.meter(q, 1+150, 1) // of ten units in a period
+	assert.InDelta(t, 15, q.lastUsed, 1e-9)
+	units, rate, depth, _, _ := g.c.Level("low", "double")
+	assert.Equal(t, []float64{20, 20}, []float64{rate, depth})
+	g.do(Rules{})
+	g.now += time.Second
+	g.c.now = g.now
+	g.c.refill(q)
+	assert.LessOrEqual(t, q.level, min(10, units+10), "more than the settings' depth")
+}
+
+// Prices set W; a price that is no number leaves the settings'. What a zone costs counts as the wait
+// that takes as much of an answer's worth, from other zones only.
+func TestRulesSetPricesAndCosts(t *testing.T) {
+	g := newGate(t, settings(), on(1, 2, 3, 4, 5, 6)...)
+	g.do(Rules{Version: 1, Price: []float64{4.5, math.NaN()}})
+	assert.Equal(t, []float64{1.5, 0.5}, []float64{g.c.law.w.At(0, 0), g.c.law.w.At(1, 1)})
+	for name, x := range map[string]struct {
+		cost  map[string]float64
+		least int // of 60 that stay in z1
+		most  int
+	}{
+		"nothing": {nil, 20, 40},
+		"its own": {map[string]float64{"z1": 1}, 20, 40},
+		"little":  {map[string]float64{"z2": 0.00001}, 20, 50},
+		"much":    {map[string]float64{"z2": 0.5}, 60, 60},
+	} {
+		g := newGate(t, settings(), on(1, 2, 3, 4, 5, 6)...)
+		g.sentTo(60)
+		g.do(Rules{Version: 1, Cost: x.cost})
+		got := g.sentTo(60)
+		assert.GreaterOrEqual(t, got[1]+got[3]+got[5], x.least, name)
+		assert.LessOrEqual(t, got[1]+got[3]+got[5], x.most, name)
+	}
+}
+
+// A gateway hands its customers' stores to one that begins without rules.
+func TestHandoverUnderRules(t *testing.T) {
+	s := settings()
+	old := newGate(t, s, on(1, 2)...)
+	old.do(Rules{Version: 1, Quota: []float64{10, 10}})
+	old.ask("a", "job", "low", "x")
+	raw, err := old.c.Handover(old.now)
+	require.NoError(t, err)
+	c, err := New(s, 1)
+	require.NoError(t, err)
+	require.NoError(t, c.Adopt(old.now, raw))
+	_, rate, _, _, _ := c.Level("low", "x")
+	assert.Equal(t, s.Plans[0].Rate, rate)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -41,13 +41,14 @@
 	arrived   time.Duration
 	aim       time.Duration // an answer by then is in time
 	giveUp    time.Duration
+	rules     *Rules // in force when it began
 	queued    bool
 	streaming bool
 	long      bool
-	sends     int // attempts started
-	out       int // attempts outstanding
-	tried     []uint32
 	mayRun    bool // an attempt may have run
+	sends     int  // attempts started
+	out       int  // attempts outstanding
+	tried     []uint32
 	firstRun  time.Duration
 	group     *server // a server of the group that drops its repeats
 	label     uint64
--- a/control/turns.go
+++ b/control/turns.go
@@ -17,8 +17,8 @@
 // free tells whether the bound has room. The part of it beyond a whole number is a place that
 // rests after each use; so hundreds of gateways may each have less than one request in flight.
 func (c *Controller) free() bool {
-	n := c.busyNow()
-	return n+1 <= c.bound || n < c.bound && c.now >= c.restUntil
+	n, bound := c.busyNow(), min(c.bound, c.most)
+	return n+1 <= bound || n < bound && c.now >= c.restUntil
 }
 
 // turn is one step of the weighted round robin: the plan with the most credit
