Hold each package's errors against the pages beside the package itself

The one test that walked all errors was red whenever a package raised a new one, and that package's own tests did not tell. Check of internal/oncall now does the walk in each package's test: every exported type ending in Error needs an example with its fields set, one line that says what failed, where and what to do, its cause found by errors.Is, and a row in docs/oncall.md. A test of internal/oncall finds packages that don't call it and rows for errors that there are not.

--- /dev/null
+++ b/internal/council/errors_test.go
@@ -0,0 +1,16 @@
+package council
+
+import (
+	"testing"
+
+	"martennotch/internal/oncall"
+)
+
+func TestErrorsSayWhatToDo(t *testing.T) {
+	oncall.Check(t,
+		&NoMajorityError{Phase: "waiting"},
+		&NotLeaderError{Leader: Peer{Name: "n-1", Address: "127.0.0.1:7947"}},
+		&StrangeError{Machine: 'x'},
+		&UnknownError{Why: oncall.Cause},
+	)
+}
--- a/internal/council/link/link.go
+++ b/internal/council/link/link.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"martennotch/internal/oneline"
 )
 
 const (
@@ -47,7 +49,7 @@
 }
 
 func (e *UnreachedError) Error() string {
-	return fmt.Sprintf("council: voter %s is not reached: %v; look at its process and the link to it", e.Peer, e.Why)
+	return fmt.Sprintf("council: voter %s is not reached: %s; look at its process and the link to it", e.Peer, oneline.Of(e.Why))
 }
 
 func (e *UnreachedError) Unwrap() error { return e.Why }
--- a/internal/council/propose.go
+++ b/internal/council/propose.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+
+	"martennotch/internal/oneline"
 )
 
 // NotLeaderError tells that another voter has to be asked.
@@ -26,7 +28,7 @@
 type UnknownError struct{ Why error }
 
 func (e *UnknownError) Error() string {
-	return fmt.Sprintf("council: the leader was lost before it knew whether this is agreed: %v; look at the status before trying again", e.Why)
+	return fmt.Sprintf("council: the leader was lost before it knew whether this is agreed: %s; look at the status before trying again", oneline.Of(e.Why))
 }
 
 func (e *UnknownError) Unwrap() error { return e.Why }
--- /dev/null
+++ b/internal/council/raftlog/errors_test.go
@@ -0,0 +1,14 @@
+package raftlog
+
+import (
+	"testing"
+
+	"martennotch/internal/oncall"
+)
+
+func TestErrorsSayWhatToDo(t *testing.T) {
+	oncall.Check(t,
+		&SpoiltError{File: "d/log", Why: oncall.Cause},
+		&UsedError{Dir: "d"},
+	)
+}
--- a/internal/council/raftlog/raftlog.go
+++ b/internal/council/raftlog/raftlog.go
@@ -18,6 +18,7 @@
 
 	"github.com/hashicorp/raft"
 
+	"martennotch/internal/oneline"
 	"martennotch/internal/store/disk"
 )
 
@@ -35,7 +36,7 @@
 }
 
 func (e *SpoiltError) Error() string {
-	return fmt.Sprintf("council's log: %s is spoilt: %v; look at the disk, the voter is admitted anew by itself", e.File, e.Why)
+	return fmt.Sprintf("council's log: %s is spoilt: %s; look at the disk, the voter is admitted anew by itself", e.File, oneline.Of(e.Why))
 }
 
 func (e *SpoiltError) Unwrap() error { return e.Why }
--- /dev/null
+++ b/internal/oncall/oncall.go
@@ -0,0 +1,144 @@
+// Package oncall holds the errors of a package, in its tests, against what staff are owed: one line
+// that says what failed, where, and after the last semicolon what they can do; and a row in
+// docs/oncall.md.
+package oncall
+
+import (
+	"errors"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Cause is what examples have for an error that they wrap.
+var Cause = errors.New("made up\nin two lines")
+
+// Check walks all exported types of errors of the package whose test calls it. Each needs an example,
+// which are pointers with each field set in one of them; what they wrap is Cause.
+func Check(t *testing.T, examples ...error) {
+	types, err := declared(".")
+	require.NoError(t, err)
+	rows, err := documented()
+	require.NoError(t, err)
+	set := map[string]bool{}
+	for _, err := range examples {
+		v := reflect.ValueOf(err).Elem()
+		name := v.Type().String()
+		_, short, _ := strings.Cut(name, ".")
+		assert.Contains(t, types, short, "%s is no type of this package", name)
+		assert.Contains(t, rows, name, "no row in docs/oncall.md")
+		assert.NoError(t, fit(err))
+		for i := range v.NumField() {
+			f := v.Type().Field(i)
+			key := short + "." + f.Name
+			set[key] = set[key] || !v.Field(i).IsZero()
+			if set[short] = true; v.Field(i).IsZero() {
+				continue
+			}
+			if f.Type.Kind() == reflect.String {
+				assert.Contains(t, err.Error(), v.Field(i).String(), "%s does not tell its %s", name, f.Name)
+			}
+			if f.Type == reflect.TypeFor[error]() {
+				assert.Contains(t, err.Error(), "made up", "%s does not tell its %s", name, f.Name)
+				assert.ErrorIs(t, err, Cause, "%s hides its %s", name, f.Name)
+			}
+		}
+	}
+	for short, fields := range types {
+		assert.True(t, set[short], "%s has no example", short)
+		for _, f := range fields {
+			assert.True(t, !set[short] || set[short+"."+f], "%s of %s is set in no example", f, short)
+		}
+	}
+}
+
+// fit tells what in an error's text is not as it has to be.
+func fit(err error) error {
+	text := err.Error()
+	at := strings.LastIndex(text, "; ")
+	switch {
+	case strings.ContainsAny(text, "\r\n"):
+		return fmt.Errorf("a line break in %q", text)
+	case at < 0 || len(strings.Fields(text[at+2:])) < 2:
+		return fmt.Errorf("%q says nothing to do", text)
+	case !strings.Contains(text[:at], ": "):
+		return fmt.Errorf("%q does not say where", text)
+	}
+	return nil
+}
+
+// declared gives the exported types of errors in a folder's sources, with their fields.
+func declared(dir string) (map[string][]string, error) {
+	types := map[string][]string{}
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	if err != nil {
+		return nil, err
+	}
+	for _, path := range files {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return nil, err
+		}
+		for _, d := range f.Decls {
+			g, ok := d.(*ast.GenDecl)
+			if !ok {
+				continue
+			}
+			for _, s := range g.Specs {
+				t, ok := s.(*ast.TypeSpec)
+				if !ok || !t.Name.IsExported() || !strings.HasSuffix(t.Name.Name, "Error") {
+					continue
+				}
+				types[t.Name.Name] = []string{}
+				if x, ok := t.Type.(*ast.StructType); ok {
+					for _, field := range x.Fields.List {
+						for _, n := range field.Names {
+							types[t.Name.Name] = append(types[t.Name.Name], n.Name)
+						}
+					}
+				}
+			}
+		}
+	}
+	return types, nil
+}
+
+// documented gives the errors that have a row with a meaning and something to do.
+func documented() (rows map[string]bool, err error) {
+	raw, err := os.ReadFile(filepath.Join(root(), "docs", "oncall.md"))
+	rows = map[string]bool{}
+	for line := range strings.Lines(string(raw)) {
+		cells := strings.Split(strings.TrimSpace(line), "|")
+		if len(cells) != 5 || len(strings.Fields(cells[2])) < 2 || cells[3] == "  " {
+			continue
+		}
+		if name := strings.Trim(cells[1], " `"); strings.HasSuffix(name, "Error") {
+			rows[name] = true
+		}
+	}
+	return rows, err
+}
+
+// root is the module's folder: the first above a test's that has a go.mod.
+func root() string {
+	dir := "."
+	for range 10 {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			break
+		}
+		dir = filepath.Join(dir, "..")
+	}
+	return dir
+}
--- /dev/null
+++ b/internal/oncall/oncall_test.go
@@ -0,0 +1,57 @@
+package oncall
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Each package of the node that raises errors of its own has a test that checks them, and each row
+// of docs/oncall.md is of an error that there is. The stand-in platform is no part of the node.
+func TestEachPackageIsChecked(t *testing.T) {
+	rows, err := documented()
+	require.NoError(t, err)
+	for _, top := range []string{"cmd/lockflow", "control", "fleet", "internal"} {
+		require.NoError(t, filepath.WalkDir(filepath.Join(root(), top), func(dir string, d fs.DirEntry, err error) error {
+			if err != nil || !d.IsDir() {
+				return err
+			}
+			if d.Name() == "lab" {
+				return filepath.SkipDir
+			}
+			types, err := declared(dir)
+			for short := range types {
+				delete(rows, d.Name()+"."+short)
+			}
+			assert.True(t, len(types) == 0 || checks(t, dir), "%s: none of its tests calls oncall.Check", dir)
+			return err
+		}))
+	}
+	assert.Empty(t, rows, "docs/oncall.md has rows for errors that there are not")
+}
+
+func checks(t *testing.T, dir string) bool {
+	files, err := filepath.Glob(filepath.Join(dir, "*_test.go"))
+	require.NoError(t, err)
+	for _, path := range files {
+		raw, err := os.ReadFile(path)
+		require.NoError(t, err)
+		if strings.Contains(string(raw), "oncall.Check(t,") {
+			return true
+		}
+	}
+	return false
+}
+
+func TestUnfitErrors(t *testing.T) {
+	for _, text := range []string{"state: full", "state: full; ", "state: full\n; remove some", "full; remove some"} {
+		assert.Error(t, fit(errors.New(text)), text)
+	}
+	assert.NoError(t, fit(errors.New("state: full; remove some")))
+}
--- /dev/null
+++ b/internal/peer/errors_test.go
@@ -0,0 +1,19 @@
+package peer
+
+import (
+	"testing"
+
+	"martennotch/internal/oncall"
+)
+
+func TestErrorsSayWhatToDo(t *testing.T) {
+	oncall.Check(t,
+		&BindError{Address: "127.0.0.1:7946", Err: oncall.Cause},
+		&ConfigError{Key: "bind", Err: oncall.Cause},
+		&FullError{Member: "n-1", Address: "127.0.0.1:7946", Most: 1024},
+		&JoinError{Seeds: 3, Err: oncall.Cause},
+		&LeaveError{Name: "n-1", Err: oncall.Cause},
+		&MemberError{Index: 3},
+		&StartError{Name: "n-1", Address: "127.0.0.1:7946", Err: oncall.Cause},
+	)
+}
--- /dev/null
+++ b/internal/store/errors_test.go
@@ -0,0 +1,23 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	"martennotch/internal/oncall"
+)
+
+func TestErrorsSayWhatToDo(t *testing.T) {
+	oncall.Check(t,
+		&AsideError{File: "d/state", Why: oncall.Cause, Err: oncall.Cause},
+		&FolderError{Dir: "d", Err: oncall.Cause},
+		&OwnerError{File: "d/state", Have: "n-2", Want: "n-1"},
+		&ReadError{File: "d/state", Err: oncall.Cause},
+		&SizeError{File: "d/state", What: "customers", Have: 3, Most: 2},
+		&SpoiltError{File: "d/state", Err: oncall.Cause},
+		&StillError{Dir: "d", Within: time.Second},
+		&UsedError{Dir: "d"},
+		&VersionError{File: "d/state", Have: 2, Want: 1},
+		&WriteError{File: "d/state", Err: oncall.Cause},
+	)
+}
