Draw a joining node's pauses by backoff, and all figures of a fleet file by one registry

By library now: the pauses of a node that joins (cenkalti/backoff/v5; one that finds itself alone again begins with the short ones), the figure of zones, whose labels were quoted as Go does and not as Prometheus reads; and one registry, made with the first part that a fleet file switches on, in place of one for each. Assertions and waiting of the tests touched are testify's.

But lockflow served as usual on words that it did not know, as in "lockflow chekc FILE"; it now ends with 2 and says what it takes.

--- a/cmd/lockflow/main.go
+++ b/cmd/lockflow/main.go
@@ -31,9 +31,16 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	fleet := flag.String("fleet", os.Getenv("NODE_FLEET"), "fleet file; none is everything off")
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), "lockflow [-fleet FILE]: serve as NODE_CONFIG says\nlockflow check FILE: tell whether a fleet file can be used\n")
+	}
 	flag.Parse()
-	if flag.Arg(0) == "check" {
-		os.Exit(check(flag.Arg(1)))
+	switch args := flag.Args(); {
+	case len(args) == 2 && args[0] == "check":
+		os.Exit(check(args[1]))
+	case len(args) > 0:
+		flag.Usage()
+		os.Exit(2)
 	}
 	if err := run(ctx, hup, *fleet); err != nil {
 		slog.Error("lockflow ends", "err", err)
--- a/cmd/lockflow/main_test.go
+++ b/cmd/lockflow/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
 )
 
 // A start that can't be made is one clear line and exit code 1.
@@ -37,6 +40,20 @@
 	}
 }
 
+// A word that is no command is not taken for none: the node does not start.
+func TestBadArguments(t *testing.T) {
+	bin := build(t)
+	for _, args := range [][]string{{"chekc", "x"}, {"check"}, {"check", "x", "y"}, {"-flet", "x"}} {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second) // of one that serves all the same
+		cmd := exec.CommandContext(ctx, bin, args...)
+		cmd.Env = append(os.Environ(), "NODE_CONFIG="+testConfig)
+		out, _ := cmd.CombinedOutput()
+		cancel()
+		assert.Equal(t, 2, cmd.ProcessState.ExitCode(), "%v: %s", args, out)
+		assert.Contains(t, string(out), "check FILE")
+	}
+}
+
 // SIGTERM with work held: the client gets its answer on a connection that it may use for as long
 // as the node serves on, then the program ends well. A SIGHUP meanwhile is harmless.
 func TestTermWithWorkHeld(t *testing.T) {
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -66,14 +66,8 @@
 			if p := n.peers.Load(); p != nil {
 				writePeers(&text, &p.Counts)
 			}
-			if n.loop.keeping != nil {
-				n.loop.keeping.write(&text)
-			}
-			if n.loop.zoning != nil {
-				n.loop.zoning.write(&text)
-			}
-			if n.loop.sharing != nil {
-				n.loop.sharing.write(&text)
+			if n.loop.figures != nil {
+				writeRegistry(&text, n.loop.figures)
 			}
 			w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 			w.Write(text.Bytes())
--- a/internal/node/keeping.go
+++ b/internal/node/keeping.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -45,7 +44,6 @@
 	armed     bool
 	learntAt  time.Time
 
-	registry                *prometheus.Registry
 	states, failed, written prometheus.Counter
 	seconds                 prometheus.Histogram
 	restored, dropped       prometheus.Counter
@@ -59,10 +57,11 @@
 		most = marksMost
 	}
 	k := &keeping{loop: l, set: &cfg.Settings, disk: cmp.Or[disk.FS](cfg.Disk, disk.Machine{}), dir: cfg.Fleet.State.Dir, node: cfg.Name, discovery: discovery,
-		marks: store.NewMarks(most), registry: prometheus.NewRegistry()}
+		marks: store.NewMarks(most)}
+	figures := l.registry()
 	counter := func(name, help string) prometheus.Counter {
 		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
-		k.registry.MustRegister(c)
+		figures.MustRegister(c)
 		return c
 	}
 	k.states = counter("node_state_written_total", "States that came to the disk.")
@@ -72,7 +71,7 @@
 	k.dropped = counter("node_state_dropped_total", "Parts of the state on the disk that were too old or could not be.")
 	k.seconds = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "node_state_write_seconds", Help: "Time from a state's making until it was on the disk.",
 		Buckets: []float64{.001, .003, .01, .03, .1, .3, 1, 3, 10}})
-	k.registry.MustRegister(k.seconds,
+	figures.MustRegister(k.seconds,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "node_state_uncovered_total", Help: "Requests sent on that no mark on the disk covered."},
 			func() float64 { return float64(k.uncovered.Load()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "node_state_age_seconds", Help: "Age of the last state on the disk; -1 where there is none of this process."},
@@ -85,9 +84,6 @@
 	return k
 }
 
-// write gives the figures in the text form of Prometheus.
-func (k *keeping) write(w io.Writer) { writeRegistry(w, k.registry) }
-
 // open takes the folder and, unless another process has handed over what it knows, what is kept
 // there. It is called before the loop runs. False is that another process has the folder.
 func (k *keeping) open(n *Node, inherited bool) bool {
--- a/internal/node/keeping_test.go
+++ b/internal/node/keeping_test.go
@@ -77,7 +77,7 @@
 			}
 			if how != "off" {
 				var text strings.Builder
-				b.node.loop.keeping.write(&text)
+				writeRegistry(&text, b.node.loop.figures)
 				if !strings.Contains(text.String(), "node_state_restored_total") {
 					t.Error("the figures lack what was restored")
 				}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -7,6 +7,8 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"martennotch/control"
 )
 
@@ -39,6 +41,8 @@
 	sharing   *sharing  // nil is that nodes share nothing
 	zoning    *zoning   // nil is that a zone is a price
 	keeping   *keeping  // nil is that nothing outlives the process
+
+	figures *prometheus.Registry // of what a fleet file switches on; nil is nothing
 }
 
 func newLoop(cfg Config, up *upstream, counts *stats) (*loop, error) {
@@ -52,6 +56,14 @@
 		ids: make(map[string]uint32), targets: make(map[string]target), pools: make(map[uint32]*pool), unitsTop: cfg.Settings.UnitsTop, stats: counts}, nil
 }
 
+// registry takes the figures of a part that a fleet file switches on.
+func (l *loop) registry() *prometheus.Registry {
+	if l.figures == nil {
+		l.figures = prometheus.NewRegistry()
+	}
+	return l.figures
+}
+
 // now is Unix time when the node started and monotonic time since, so that the start of
 // an app server maps truly, also one before ours, and no step of the clock is seen.
 func (l *loop) now() time.Duration {
--- a/internal/node/sharing.go
+++ b/internal/node/sharing.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"io"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -39,14 +38,13 @@
 	changing atomic.Bool  // news of members is on its way to the loop
 	waiting  atomic.Int64 // messages on their way to the loop
 	figures  atomic.Pointer[share.Counts]
-	registry *prometheus.Registry
 	age      prometheus.Histogram
 	spoilt, lost, lostOut,
 	knownStore, unknown prometheus.Counter
 }
 
 func newSharing(set *control.Settings, on PeersConfig, l *loop) *sharing {
-	s := &sharing{loop: l, set: set, on: on, uids: make(map[uint32]share.Server), ids: make(map[share.Server]uint32), out: make(chan share.Out, sendQueue), registry: prometheus.NewRegistry()}
+	s := &sharing{loop: l, set: set, on: on, uids: make(map[uint32]share.Server), ids: make(map[share.Server]uint32), out: make(chan share.Out, sendQueue)}
 	s.figures.Store(&share.Counts{})
 	s.describe()
 	return s
@@ -54,14 +52,15 @@
 
 // describe names the figures for the operators.
 func (s *sharing) describe() {
+	registry := s.loop.registry()
 	s.age = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "node_share_age_seconds",
 		Help: "Age of what was told of a store when a request was decided by it.", Buckets: []float64{.01, .05, .1, .2, .3, .5, .7, .9, 1}})
 	counter := func(name, help string) prometheus.Counter {
 		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
-		s.registry.MustRegister(c)
+		registry.MustRegister(c)
 		return c
 	}
-	s.registry.MustRegister(s.age)
+	registry.MustRegister(s.age)
 	s.spoilt = counter("node_share_spoilt_total", "Messages of others that could not be used.")
 	s.lost = counter("node_share_dropped_total", "Messages of others dropped, as the loop had no room.")
 	s.lostOut = counter("node_share_unsent_total", "Messages that could not be sent.")
@@ -81,18 +80,15 @@
 		"node_share_handed_total":   func(c *share.Counts) int64 { return c.Handed },
 		"node_share_taken_total":    func(c *share.Counts) int64 { return c.Taken },
 	} {
-		s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: "See docs/oncall.md."},
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: "See docs/oncall.md."},
 			func() float64 { return float64(of(s.figures.Load())) }))
 	}
-	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "node_share_stores", Help: "Customers' stores kept here for all nodes."},
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "node_share_stores", Help: "Customers' stores kept here for all nodes."},
 		func() float64 { return float64(s.figures.Load().Stores) }))
-	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "node_share_low", Help: "Those of them that are low."},
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "node_share_low", Help: "Those of them that are low."},
 		func() float64 { return float64(s.figures.Load().Lows) }))
 }
 
-// write gives the figures in the text form of Prometheus.
-func (s *sharing) write(w io.Writer) { writeRegistry(w, s.registry) }
-
 // start begins to take part, once the membership has begun.
 func (s *sharing) start(p *peer.Peers) {
 	quotas := make(map[uint32]share.Quota)
--- a/internal/node/sharing_test.go
+++ b/internal/node/sharing_test.go
@@ -82,7 +82,7 @@
 				t.Errorf("a node that is told of an empty store answers %d", got)
 			}
 			var text strings.Builder
-			b.node.loop.sharing.write(&text)
+			writeRegistry(&text, b.node.loop.figures)
 			if !strings.Contains(text.String(), "node_share_age_seconds_bucket") || !strings.Contains(text.String(), "node_share_known_total") {
 				t.Error("the figures lack age or known")
 			}
--- a/internal/node/zoning.go
+++ b/internal/node/zoning.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"martennotch/control"
 	"martennotch/fleet/zone"
 )
@@ -52,6 +52,7 @@
 	z := &zoning{loop: l, policy: zone.New(own, zones), of: make(map[uint32]string)}
 	views := z.policy.Views()
 	z.views.Store(&views)
+	l.registry().MustRegister(z)
 	w := l.watch()
 	w.late = append(w.late, func(server uint32) { z.saw(server, -1) })
 	w.fared = append(w.fared, z.saw)
@@ -117,11 +118,15 @@
 	return cut
 }
 
-// write gives the figures in the text form of Prometheus.
-func (z *zoning) write(w io.Writer) {
-	fmt.Fprint(w, "# HELP node_zone_part Part of its usual traffic that a zone may have.\n# TYPE node_zone_part gauge\n")
+var zonePart = prometheus.NewDesc("node_zone_part", "Part of its usual traffic that a zone may have.", []string{"zone", "state"}, nil)
+
+// Describe names the figures.
+func (z *zoning) Describe(to chan<- *prometheus.Desc) { to <- zonePart }
+
+// Collect gives the figures.
+func (z *zoning) Collect(to chan<- prometheus.Metric) {
 	for _, v := range *z.views.Load() {
-		fmt.Fprintf(w, "node_zone_part{zone=%q,state=%q} %g\n", v.Zone, v.State, v.Part)
+		to <- prometheus.MustNewConstMetric(zonePart, prometheus.GaugeValue, v.Part, v.Zone, v.State.String())
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/memberlist"
 )
 
@@ -26,10 +27,11 @@
 
 	aloneVersion = 1 // of one that takes nothing
 
-	membersMost  = 1024 // remembered; beyond it new ones are refused
-	joinFirst    = 250 * time.Millisecond
-	joinMost     = 4 * time.Second  // between two tries to join while alone
-	rejoin       = 15 * time.Second // between two looks for seeds that are not live: a healed partition
+	membersMost  = 1024                   // remembered; beyond it new ones are refused
+	joinFirst    = 375 * time.Millisecond // between two tries to join while alone; it doubles
+	joinMost     = 3 * time.Second
+	rejoin       = 11 * time.Second // between two looks for seeds that are not live: a healed partition
+	joinSpread   = 1. / 3           // by which each of these is more or less, so that nodes don't join in step
 	reclaim      = 5 * time.Second  // after which a name may come back from another address
 	leaveWithin  = time.Second      // for the word of a graceful leave to go out
 	streamWithin = 3 * time.Second  // of a peer's stream; the library gives 10 s, improper peers are owed a close in 3 s
@@ -45,7 +47,7 @@
 	Bind         string // address for TCP and UDP, the one that others are told
 	Seeds        []string
 	Via          map[string]string // addresses to be reached by others, where links stand between
-	Seed         uint64            // of random pauses
+	Seed         uint64            // of the choice of seeds
 	Receive      func(raw []byte)  // takes what another sends, and does not wait; nil is nothing taken
 	Changed      func()            // is told that Live has changed, and does not wait; nil is nobody
 }
@@ -194,7 +196,8 @@
 // join joins by the seeds until another member is there, with pauses that grow, and looks again now
 // and then for seeds that are not live: what a partition has made two is joined again.
 func (p *Peers) join() {
-	pause := joinFirst
+	alone := &backoff.ExponentialBackOff{InitialInterval: joinFirst, MaxInterval: joinMost, Multiplier: 2, RandomizationFactor: joinSpread}
+	joined := &backoff.ExponentialBackOff{InitialInterval: rejoin, MaxInterval: rejoin, Multiplier: 1, RandomizationFactor: joinSpread}
 	for {
 		if seeds := p.missing(); len(seeds) > 0 {
 			if _, err := p.list.Join(seeds); err != nil && p.Counts.Live.Load() == 0 {
@@ -204,11 +207,13 @@
 				p.log.Warn("peers: nobody joined", "err", &JoinError{len(seeds), err})
 			}
 		}
-		if pause = min(2*pause, joinMost); p.Counts.Live.Load() > 0 {
-			pause = rejoin
+		pauses := alone
+		if p.Counts.Live.Load() > 0 {
+			pauses = joined
+			alone.Reset()
 		}
 		select {
-		case <-time.After(pause/2 + time.Duration(p.rng.Int64N(int64(pause/2)))):
+		case <-time.After(pauses.NextBackOff()):
 		case <-p.life.Done():
 			return
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"martennotch/internal/lab/link"
 )
 
@@ -35,11 +37,7 @@
 // until waits for a state of the membership; the library's timers decide how long it takes.
 func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	for end := time.Now().Add(patience); !ok(); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-	}
+	require.Eventually(t, ok, patience, 20*time.Millisecond, "waited in vain for %s", what)
 }
 
 func sees(p *Peers, n int) func() bool {
