--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -269,6 +269,7 @@
 			report.Spreads(os.Stdout, fmt.Sprintf("%s, %d nodes, %d seeds", w, nodes, to-from+1), plays[w])
 		}
 	}
+	fmt.Println("no late-seeing policy for plays in virtual time: they have no servers")
 	if r.Report == "" {
 		return nil
 	}
--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -131,12 +131,4 @@
 }
 
 // delay is what the link of two zones takes, one way.
-func (p *play) delay(a, b int) time.Duration {
-	switch z := p.day.Zones; {
-	case a == b:
-		return p.day.Link.Same
-	case z[a].Region != z[b].Region:
-		return p.day.Link.Far
-	}
-	return p.day.Link.Cross
-}
+func (p *play) delay(a, b int) time.Duration { return p.day.Delay(a, b) }
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,9 +18,7 @@
 const (
 	lateHeard = 500 * time.Millisecond // beyond its time within which an answer earns nothing and is not lost
 	slack     = 50 * time.Millisecond  // of every limit on sockets
-	leastLeft = 50 * time.Millisecond  // with less a client does not try again
 	slowRead  = 500 * time.Millisecond // that a slow reader lets an answer wait
-	hastyPart = 0.2                    // of the usual time, that a hasty client waits
 	roomPart  = 0.5                    // of a store unused, from which a refusal counts as one with room
 )
 
@@ -60,36 +56,21 @@
 // request is one request with all its tries.
 func (c *Clients) request(ctx context.Context, i int) {
 	a := &c.Day.Arrivals[i]
-	class := &c.Day.Classes[a.Class]
-	rng := rand.New(rand.NewPCG(a.Seed, 0))
-	deadline := ms(class.DeadlineMS)
-	share := c.Day.Clients.TryShare
-	hasty, slow := rng.Float64() < c.Day.File.Clients.Hasty, rng.Float64() < c.Day.File.Clients.SlowReaders
-	if hasty {
-		share *= hastyPart
-	}
-	tries := 1 + int(c.Day.Clients.Retries) + btoi(rng.Float64() < c.Day.Clients.Retries-math.Floor(c.Day.Clients.Retries))
-	due, back := a.At, c.Day.Clients.Backoff
-	place := rng.Float64()
-	for n := range tries {
-		left := min(time.Duration(share*float64(deadline)), deadline-(due-a.At))
-		if left < leastLeft || ctx.Err() != nil {
+	m := c.Day.Manner(a)
+	due := a.At
+	for n := range m.Tries {
+		left, ok := m.Left(due)
+		if !ok || ctx.Err() != nil {
 			return
 		}
-		t := &record.Try{ID: fmt.Sprintf("%016x", rng.Uint64()), Arrival: i, N: n, Customer: a.Customer, Class: a.Class,
+		t := &record.Try{ID: fmt.Sprintf("%016x", m.Uint64()), Arrival: i, N: n, Customer: a.Customer, Class: a.Class,
 			Units: a.Units, True: a.True, Due: due, Left: left}
 		c.Book.Begin(t)
-		c.try(ctx, t, place, hasty, slow)
+		c.try(ctx, t, m.Place, m.Hasty, m.Slow)
 		if t.End == record.Answered && t.Status == http.StatusOK || t.End == record.Left {
 			return
 		}
-		wait := time.Duration(float64(back) * (0.75 + rng.Float64()/2))
-		if t.Advice && rng.Float64() < c.Day.Clients.Honour {
-			wait = min(ms(c.Day.File.Clients.MaxRetryAfter), time.Second)
-		}
-		if back *= 2; rng.Float64() < c.Day.Clients.Elsewhere {
-			place = rng.Float64()
-		}
+		wait := m.Wait(t.Advice)
 		due = c.Clock() + wait
 		select {
 		case <-time.After(wait):
@@ -99,15 +80,6 @@
 	}
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
-
 // place draws the node of a try among those that ok holds for; false where there is none.
 func (c *Clients) place(t *record.Try, x float64, ok func(*Node) bool) bool {
 	node := c.Day.Pick(t.Customer, max(0, t.Due), x, func(n int) bool { return ok(c.Nodes[n]) })
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -34,6 +34,9 @@
 	Void    string // why the play does not count; "" is that it does
 	Figures Figures
 	Series  []Second
+	// What was served beside what the late-seeing policy serves; NoReference says why there is none.
+	Parts       []Part
+	NoReference string
 }
 
 // Second is one second of the day: worth asked inside the quotas, served in time, tries and refusals.
--- a/internal/lab/judge/price.go
+++ b/internal/lab/judge/price.go
@@ -110,6 +110,7 @@
 		}
 	}
 	j.shares(offered, served)
+	j.reference(offered)
 	total := max(sum(offered), 1e-9)
 	j.add("over_units", over/max(units, 1), "of units sent on")
 	j.add("over_cost", overCost/total, "of worth offered")
@@ -202,44 +203,6 @@
 	j.add("talk", float64(j.book.Talk)/float64(len(j.day.Nodes))/j.day.Length.Seconds(), "bytes a second and node")
 }
 
-// shares adds served worth: all, by class and plan, and in the worst window; and how long service
-// took to be whole after the last fault.
-func (j *judge) shares(offered, served []float64) {
-	var all, got float64
-	class, plan := map[string][2]float64{}, map[string][2]float64{}
-	for i, o := range offered {
-		a := &j.day.Arrivals[i]
-		s := &j.v.Series[min(len(j.v.Series)-1, int(a.At.Seconds()))]
-		s.Offered += o
-		s.Served += served[i]
-		all, got = all+o, got+served[i]
-		c, p := j.day.Classes[a.Class].Name, j.day.Plans[j.day.Customers[a.Customer].Plan].Name
-		class[c] = [2]float64{class[c][0] + o, class[c][1] + served[i]}
-		plan[p] = [2]float64{plan[p][0] + o, plan[p][1] + served[i]}
-	}
-	share := func(x [2]float64) float64 { return math.Min(1, x[1]/max(x[0], 1e-9)) }
-	j.add("served", share([2]float64{all, got}), "of worth offered")
-	worst := 1.0
-	for _, c := range j.day.Classes {
-		j.add("served_"+c.Name, share(class[c.Name]), "of worth offered")
-		worst = math.Min(worst, share(class[c.Name]))
-	}
-	j.add("served_worst_class", worst, "of worth offered")
-	for _, p := range j.day.Plans {
-		j.add("served_"+p.Name, share(plan[p.Name]), "of worth offered")
-	}
-	least := 1.0
-	for i := 0; i+min(window, len(j.v.Series)) <= len(j.v.Series); i++ {
-		var x [2]float64
-		for _, s := range j.v.Series[i : i+min(window, len(j.v.Series))] {
-			x[0], x[1] = x[0]+s.Offered, x[1]+s.Served
-		}
-		least = math.Min(least, share(x))
-	}
-	j.add("served_worst_10s", least, "of worth offered")
-	j.add("back", j.back(), "s")
-}
-
 // back is how long after the end of the last fault service was whole again: three seconds together
 // at nine tenths of what they were before the first fault. Where it is not by the end, it is what
 // was left of the day.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -31,6 +31,11 @@
 	if v.Void != "" {
 		return "void: " + v.Void
 	}
+	for _, p := range v.Parts {
+		if p.Served < p.Owed {
+			return fmt.Sprintf("%s %s: served, wanted %.3f or more of what is offered by the late-seeing policy's %.3f, measured %.3f", p.Kind, p.Name, p.Owed, p.Late, p.Served)
+		}
+	}
 	type line struct {
 		name  string
 		bound float64
@@ -59,6 +64,7 @@
 		fmt.Fprintf(t, "%s\t%.4g\t%s\n", f.Name, f.Value, f.Unit)
 	}
 	t.Flush()
+	parts(w, v)
 	for _, rule := range judge.Rules {
 		for _, c := range v.Broken[rule] {
 			fmt.Fprintf(w, "broken: %s: %s\n", rule, c)
@@ -66,6 +72,21 @@
 	}
 }
 
+// parts prints what was served of each class and plan, beside the late-seeing policy's and what is
+// owed by it.
+func parts(w io.Writer, v *judge.Verdict) {
+	if v.NoReference != "" {
+		fmt.Fprintln(w, v.NoReference)
+		return
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "of worth offered\tserved\tlate-seeing policy\towed")
+	for _, p := range v.Parts {
+		fmt.Fprintf(t, "%s %s\t%.3f\t%.3f\t%.3f\n", p.Kind, p.Name, p.Served, p.Late, p.Owed)
+	}
+	t.Flush()
+}
+
 // Last is the last line of a play, and whether it passed.
 func Last(d *scenario.Day, v *judge.Verdict) (string, bool) {
 	if failed := Gate(d.File.Gate, v); failed != "" {
@@ -85,8 +106,9 @@
 		Passed   bool                `json:"passed"`
 		Void     string              `json:"void,omitempty"`
 		Broken   map[string][]string `json:"broken,omitempty"`
+		NoLate   string              `json:"no_reference,omitempty"`
 		Figures  judge.Figures       `json:"figures"`
-	}{d.Name, d.Seed, d.Digest(), Gate(d.File.Gate, v) == "", v.Void, v.Broken, v.Figures}, "", " ")
+	}{d.Name, d.Seed, d.Digest(), Gate(d.File.Gate, v) == "", v.Void, v.Broken, v.NoReference, v.Figures}, "", " ")
 	if err != nil {
 		return err
 	}
--- a/internal/lab/scenario/day.go
+++ b/internal/lab/scenario/day.go
@@ -173,3 +173,14 @@
 	}
 	return last
 }
+
+// Delay is what the link of two zones takes, one way.
+func (d *Day) Delay(a, b int) time.Duration {
+	switch z := d.Zones; {
+	case a == b:
+		return d.Link.Same
+	case z[a].Region != z[b].Region:
+		return d.Link.Far
+	}
+	return d.Link.Cross
+}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -4,7 +4,6 @@
 package virtual
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -14,6 +13,7 @@
 
 	"martennotch/control"
 	"martennotch/fleet/share"
+	"martennotch/internal/lab/agenda"
 	"martennotch/internal/lab/judge"
 	"martennotch/internal/lab/ledger"
 	"martennotch/internal/lab/scenario"
@@ -38,27 +38,6 @@
 	leasePart   = 0.25
 )
 
-type event struct {
-	at time.Duration
-	n  int // in order of making, so that a play is the same each time
-	do func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // play is one play in progress.
 type play struct {
 	d       *scenario.Day
@@ -66,8 +45,7 @@
 	loss    float64
 	rng     *rand.Rand
 	now     time.Duration
-	events  queue
-	made    int
+	agenda  agenda.Agenda
 	truth   *ledger.Ledger
 	nodes   []node
 	owners  []int // by customer
@@ -140,17 +118,15 @@
 	for i := range d.Arrivals {
 		p.after(d.Arrivals[i].At, func() { p.arrive(&d.Arrivals[i]) })
 	}
-	for p.events.Len() > 0 {
-		e := heap.Pop(&p.events).(event)
-		p.now = e.at
-		e.do()
-	}
+	p.agenda.Run()
 	return p.figures()
 }
 
 func (p *play) after(wait time.Duration, do func()) {
-	p.made++
-	heap.Push(&p.events, event{p.now + wait, p.made, do})
+	p.agenda.After(wait, func() {
+		p.now = p.agenda.Now
+		do()
+	})
 }
 
 func (p *play) arrive(a *scenario.Arrival) {
