Count lists in the lab as told when the agent has them, and silence by one clock

The judge counted from what was written, or 6 s after the change, so a node that never asked broke nothing for 6 s, and a process that had just started was told nothing.

Now agents note when they have a change, which is nothing while discovery is down, and the judge counts by one clock, for drains and for cold starts. New kind of fault: silent (open watches say nothing more, new calls are answered).

--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -102,7 +102,7 @@
 // buildNode makes what stands around one node: discovery's agent, the counter's path, its disk and
 // the front's view of it.
 func (p *play) buildNode(i int, n scenario.Node) error {
-	a := discovery.NewAgent(func(server int, state string) { p.told(i, server, state) })
+	a := discovery.NewAgent(p.notes(i))
 	tell := link.NewPath(i, partyDiscovery, 0)
 	if err := a.Serve(tell, p.address(i, portDiscovery)); err != nil {
 		return err
--- a/internal/lab/change.go
+++ b/internal/lab/change.go
@@ -42,7 +42,19 @@
 	}
 }
 
-// told notes that a node has been written an entry.
-func (p *play) told(node, server int, state string) {
-	p.book.Heard(record.Pair{Node: node, Server: server}, p.clock(), state)
+// notes enter what becomes of a node's list.
+func (p *play) notes(node int) discovery.Notes {
+	return discovery.Notes{
+		Has: func(server int, _ string) { p.book.Has(record.Pair{Node: node, Server: server}, p.clock()) },
+		Told: func(server int, state string) {
+			p.book.Heard(record.Pair{Node: node, Server: server}, p.clock(), state)
+		},
+		Answered: func() { p.note(p.book.Answered, node) },
+	}
+}
+
+// note enters that something has happened to a node's agent now.
+func (p *play) note(to map[int][]time.Duration, node int) {
+	at := p.clock()
+	p.book.With(func() { to[node] = append(to[node], at) })
 }
--- a/internal/lab/discovery/discovery.go
+++ b/internal/lab/discovery/discovery.go
@@ -56,9 +56,18 @@
 	server int
 }
 
+// Notes hear of what becomes of a list: that the agent has a change, that it has written one to the
+// node, and that it has answered a new call. They must not call the agent.
+type Notes struct {
+	Has, Told func(server int, state string)
+	Answered  func()
+}
+
 // Agent tells one node. It is safe for concurrent use.
 type Agent struct {
-	told    func(server int, state string)
+	notes   Notes
+	waiting []entry // changes that have not come to the agent, as discovery is down
+	silent  int     // how often all open watches fell silent
 	mu      sync.Mutex
 	rev     int
 	entries map[string]*entry
@@ -70,9 +79,9 @@
 	http    *http.Server
 }
 
-// NewAgent makes the agent of a node; told hears of each change when it has been written to the node.
-func NewAgent(told func(server int, state string)) *Agent {
-	return &Agent{told: told, entries: make(map[string]*entry), changed: make(chan struct{})}
+// NewAgent makes the agent of a node.
+func NewAgent(notes Notes) *Agent {
+	return &Agent{notes: notes, entries: make(map[string]*entry), changed: make(chan struct{})}
 }
 
 // Serve answers at an address across a path, in place of where it answered before: the old address
@@ -118,32 +127,55 @@
 	h.Close()
 }
 
-// Put enters a change. A target that is removed stays as such, so that a watch tells it.
+// Put enters a change, which comes to the agent at once or when discovery is back. A target that is
+// removed stays as such, so that a watch tells it.
 func (a *Agent) Put(server int, t Target) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.rev++
-	if a.entries[t.UID] == nil {
-		a.order = append(a.order, t.UID)
+	a.waiting = append(a.waiting, entry{t, 0, server})
+	a.learn()
+}
+
+// learn takes in what has not come, unless discovery is down. The caller holds mu.
+func (a *Agent) learn() {
+	if !a.dark && !a.bad {
+		for _, e := range a.waiting {
+			a.rev++
+			e.rev = a.rev
+			if a.entries[e.UID] == nil {
+				a.order = append(a.order, e.UID)
+			}
+			a.entries[e.UID] = &e
+			a.notes.Has(e.server, e.State)
+		}
+		a.waiting = nil
 	}
-	a.entries[t.UID] = &entry{t, a.rev, server}
 	a.wake()
 }
 
-// Dark silences the agent or lets it speak again; Spoil makes it send what is no list.
+// Dark is that discovery is down: the agent is silent and learns nothing, and answers what waits when
+// it is back.
 func (a *Agent) Dark(on bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.dark = on
+	a.learn()
+}
+
+// Silence has the watches that are open say nothing more, without a word. New calls are answered.
+func (a *Agent) Silence() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent++
 	a.wake()
 }
 
-// Spoil makes the agent send what is no list, or ends that.
+// Spoil makes the agent send what is no list, or ends that. It learns nothing meanwhile.
 func (a *Agent) Spoil(on bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.bad = on
-	a.wake()
+	a.learn()
 }
 
 func (a *Agent) wake() {
@@ -178,20 +210,32 @@
 func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	if r.URL.Query().Get("watch") != "1" {
-		a.send(w, r, 0)
+		if a.send(w, r, 0) >= 0 {
+			a.notes.Answered()
+		}
 		return
 	}
 	w.WriteHeader(http.StatusOK)
+	a.mu.Lock()
+	open := a.silent
+	a.mu.Unlock()
 	for first := true; ; first = false {
 		a.mu.Lock()
-		rev, changed, news := a.rev, a.changed, first || a.rev > from || a.bad
+		rev, changed, news, silent := a.rev, a.changed, first || a.rev > from || a.bad, a.silent != open
 		a.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
 		if news {
 			if from = a.send(w, r, from); from < 0 {
 				return
 			}
 			from = max(from, rev)
 		}
+		if first {
+			a.notes.Answered()
+		}
 		select {
 		case <-changed:
 		case <-time.After(beat):
@@ -243,7 +287,7 @@
 		return -1
 	}
 	for _, e := range told {
-		a.told(e.server, e.State)
+		a.notes.Told(e.server, e.State)
 	}
 	return l.Rev
 }
--- a/internal/lab/fake_test.go
+++ b/internal/lab/fake_test.go
@@ -57,7 +57,9 @@
 	}
 	f := &fake{how: how, servers: cfg.Known.Targets}
 	f.upstream.Transport = &http.Transport{MaxIdleConnsPerHost: 64}
-	go f.follow(cfg.Discovery)
+	if how != "deaf" {
+		go f.follow(cfg.Discovery)
+	}
 	if how == "crash" {
 		time.AfterFunc(time.Second, func() { os.Exit(3) })
 	}
@@ -95,6 +97,9 @@
 		if err != nil || f.how == "drain" {
 			continue
 		}
+		if f.how == "late" {
+			time.Sleep(3 * time.Second) // a second more than is forgiven
+		}
 		var up []discovery.Target
 		newest := int64(0)
 		for _, t := range l.Targets {
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -43,6 +43,11 @@
 		}
 	case "dark":
 		p.agentsFor(ctx, e.For, (*discovery.Agent).Dark)
+	case "silent":
+		for i, a := range p.agents {
+			p.note(p.book.Silent, i)
+			a.Silence()
+		}
 	case "spoilt":
 		p.agentsFor(ctx, e.For, (*discovery.Agent).Spoil)
 	case "move":
@@ -276,6 +281,7 @@
 		p.mu.Lock()
 		x := n.process
 		p.mu.Unlock()
+		p.note(p.book.Moved, i)
 		x.Signal(syscall.SIGHUP)
 	}
 }
--- a/internal/lab/judge/cold.go
+++ b/internal/lab/judge/cold.go
@@ -30,8 +30,9 @@
 
 // toldOfStart tells whether a node had been told by a time of a server's start, or counts as told.
 func (j *judge) toldOfStart(node, server int, start, by time.Duration) bool {
+	since := j.started(node, by)
 	for _, x := range j.book.Told[record.Pair{Node: node, Server: server}] {
-		if x.Kind == "up" && x.Change >= start && min(x.At, x.Change+toldAtMost) <= by {
+		if x.Kind == "up" && x.Change >= start && j.told(node, since, x) <= by {
 			return true
 		}
 	}
--- a/internal/lab/judge/cold_test.go
+++ b/internal/lab/judge/cold_test.go
@@ -11,13 +11,13 @@
 )
 
 // Only a fall of which over two thirds came from nodes that had been told of the start breaks the
-// rule, and only the first such; a node is told by what was written to it, or 6 s after the change.
+// rule, and only the first such; a node is told what its agent has.
 func TestColdFallsAreTheNodesDoingOnlyWhereTheyWereTold(t *testing.T) {
 	const start, s = 10 * time.Second, time.Second
 	told := [][]record.Told{ // by node
-		{{Change: start, At: start + 3*s, Kind: "up"}},
-		{{Change: start, At: record.Never, Kind: "up"}},
-		{{Change: start - 3*s, At: start - 3*s, Kind: "up"}}, // of the process before
+		{{Change: start, Had: start + 3*s, At: start + 3*s, Kind: "up"}},
+		{{Change: start, Had: start + 6*s, At: record.Never, Kind: "up"}},
+		{{Change: start - 3*s, Had: start - 3*s, At: start - 3*s, Kind: "up"}}, // of the process before
 	}
 	fall := func(after time.Duration, nodes ...int) record.Fall {
 		f := record.Fall{Since: start, At: start + after}
@@ -36,7 +36,7 @@
 		{"three quarters", []record.Fall{fall(4*s, 0, 0, 0, 1)}, 1},
 		{"told after the sends", []record.Fall{fall(2*s, 0, 0)}, 0},
 		{"told of an earlier start", []record.Fall{fall(4*s, 2)}, 0},
-		{"nothing came within 6 s", []record.Fall{fall(7*s, 1)}, 1},
+		{"the agent had it, and nobody asked", []record.Fall{fall(7*s, 1)}, 1},
 		{"the second is theirs, the third follows from it", []record.Fall{fall(4*s, 1), fall(4*s, 0), fall(4*s, 0)}, 1},
 	} {
 		t.Run(x.name, func(t *testing.T) {
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -15,7 +15,6 @@
 // The figures of the platform's pages that no scenario changes.
 const (
 	slack       = 50 * time.Millisecond // of every limit on sockets
-	toldAtMost  = 6 * time.Second       // after which a change of the list counts as told
 	freshLost   = 200                   // one in so many requests may have its new connection closed with no answer
 	improperFor = 3 * time.Second
 	improperTop = 0.02                 // part of improper peers that may wait longer, as machines hiccup
@@ -156,15 +155,14 @@
 		for _, a := range t.Attempts {
 			since := j.started(a.Node, a.First)
 			left := time.Duration(-1) // when it was told to leave the server, and not yet that it is up again
-			for _, x := range j.book.Told[record.Pair{Node: a.Node, Server: a.Server}] {
-				at := min(x.At, max(x.Change, since)+toldAtMost)
-				if x.At < since || at > a.First {
-					continue
+			for _, x := range j.order(a.Node, a.Server, since) {
+				if x.at > a.First {
+					break
 				}
 				if x.Kind == "up" {
 					left = -1
 				} else if left < 0 {
-					left = at
+					left = x.at
 				}
 			}
 			if left >= 0 && a.First > left+grace {
@@ -174,17 +172,6 @@
 	}
 }
 
-// started is when the process of a node that ran at a time began.
-func (j *judge) started(node int, at time.Duration) time.Duration {
-	from := time.Duration(-1 << 62)
-	for _, r := range j.book.Runs {
-		if r.Node == node && r.From <= at {
-			from = max(from, r.From)
-		}
-	}
-	return from
-}
-
 func (j *judge) rest() {
 	for _, id := range j.book.Strays {
 		j.v.broke("stray", "%q: no client sent it in this form", id)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -68,6 +68,8 @@
 		{"memory", "crash", nil},
 		{"improper", "improper", []string{"seconds = 5", "clients.improper = 20"}},
 		{"drain", "drain", []string{"seconds = 5", drained}},
+		{"deaf", "drain", []string{"seconds = 5", drained}},
+		{"late", "drain", []string{"seconds = 5", drained}},
 		{"cold", "cold", []string{"seconds = 5", "load.inside = 0.6", pushed}},
 	} {
 		t.Run(x.how, func(t *testing.T) {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -224,6 +224,10 @@
 // settings is the object that the simulator's first message holds, with its names and units.
 func (p *play) settings(n *node) map[string]any {
 	f, d := p.day.File, p.day
+	mode := "pushed"
+	if f.Discovery.Asked {
+		mode = "on_request"
+	}
 	var zones []string
 	for _, z := range d.Zones {
 		zones = append(zones, z.Name)
@@ -246,7 +250,7 @@
 		cold = max(cold, float64(s.Cold.Milliseconds()))
 	}
 	return map[string]any{
-		"self-index": n.index, "group-size": len(d.Nodes), "zone": d.Zones[n.Zone].Name, "azs": zones, "discovery": "pushed",
+		"self-index": n.index, "group-size": len(d.Nodes), "zone": d.Zones[n.Zone].Name, "azs": zones, "discovery": mode,
 		"family": "gate", "granularity": 2.0, "stage": 0, "stages": []string{"rating-fleet"}, "kinds": []string{"std-3core"},
 		"weight-source": "rough", "classes": classes, "tariffs": tariffs, "clients": map[string]any{"marks-retry": false},
 		"contract": map[string]any{"ask-within": 10000.0, "cold": cold, "cold-from": coldFrom, "drain-grace": f.Rules.DrainGraceMS,
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -105,7 +105,10 @@
 	Crashes  []string        // what ended or broke a limit unasked
 	Improper []time.Duration // how long improper peers waited for an error or a close
 	Told     map[Pair][]Told
-	Late     []time.Duration // of each send of the generator against its time
+	Silent   map[int][]time.Duration // when the open watches of a node fell silent
+	Answered map[int][]time.Duration // when its agent answered a new call
+	Moved    map[int][]time.Duration // when its agent moved, and SIGHUP came
+	Late     []time.Duration         // of each send of the generator against its time
 	Views    []View
 	Talk     int64 // bytes that nodes sent each other
 	Probes   int
@@ -119,15 +122,27 @@
 // Never is a time that does not come.
 const Never = time.Duration(math.MaxInt64)
 
-// Told is one change of the list, and when one node was told it; Never where it was not.
+// Told is one change of the list, when one node's agent had it and when it was written to the node;
+// Never where it was not.
 type Told struct {
-	Change, At time.Duration
-	Kind       string // "up", "draining", "removed"
+	Change, Had, At time.Duration
+	Kind            string // "up", "draining", "removed"
 }
 
 // Changed enters a change that a node is to be told.
 func (b *Book) Changed(p Pair, at time.Duration, kind string) {
-	b.With(func() { b.Told[p] = append(b.Told[p], Told{at, Never, kind}) })
+	b.With(func() { b.Told[p] = append(b.Told[p], Told{at, Never, Never, kind}) })
+}
+
+// Has enters that a node's agent has the newest state of a server, and with it what changed before.
+func (b *Book) Has(p Pair, at time.Duration) {
+	b.With(func() {
+		for i := range b.Told[p] {
+			if t := &b.Told[p][i]; t.Had == Never {
+				t.Had = at
+			}
+		}
+	})
 }
 
 // Heard enters that a node has been written the newest state of a server. What changed before is
@@ -136,12 +151,12 @@
 	b.With(func() {
 		news := false
 		for i := range b.Told[p] {
-			if t := &b.Told[p][i]; t.At == Never {
+			if t := &b.Told[p][i]; t.At == Never && t.Had <= at {
 				t.At, news = at, true
 			}
 		}
 		if !news {
-			b.Told[p] = append(b.Told[p], Told{at, at, kind})
+			b.Told[p] = append(b.Told[p], Told{at, at, at, kind})
 		}
 	})
 }
@@ -163,7 +178,10 @@
 }
 
 // NewBook makes an empty book.
-func NewBook() *Book { return &Book{tries: make(map[string]*Try), Told: make(map[Pair][]Told)} }
+func NewBook() *Book {
+	return &Book{tries: make(map[string]*Try), Told: make(map[Pair][]Told), Silent: make(map[int][]time.Duration),
+		Answered: make(map[int][]time.Duration), Moved: make(map[int][]time.Duration)}
+}
 
 // With runs f while nothing else writes to the book.
 func (b *Book) With(f func()) {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -118,6 +118,7 @@
 
 // Discovery is how late the list is told.
 type Discovery struct {
+	Asked   bool  // lists are asked for, not pushed
 	NoticeS Range `toml:"notice_s"` // from a change of a server to the list
 	AddS    Range `toml:"add_s"`
 	NodeMS  Range `toml:"node_ms"` // further lateness, by node
