--- a/internal/lab/virtual/figures.go
+++ b/internal/lab/virtual/figures.go
@@ -35,10 +35,10 @@
 	var ways []Way
 	for _, n := range names {
 		switch w := Way(n); w {
-		case Alone, Lease, Notices, Uncut, Cut, Provided:
+		case Alone, Lease, Notices, Uncut, Cut, Provided, RulesOverlap, RulesExclusive:
 			ways = append(ways, w)
 		default:
-			return nil, fmt.Errorf("way %q is none of alone, lease, notices, uncut, cut and provided", n)
+			return nil, fmt.Errorf("way %q is none of alone, lease, notices, uncut, cut, provided, rules-overlap and rules-exclusive", n)
 		}
 	}
 	return ways, nil
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -1,6 +1,7 @@
 // Package virtual plays the tries of a drawn day in virtual time against the pure parts of what
 // nodes share, at sizes that no machine holds as processes. It has no servers: what is measured is
-// which tries pass, against the true stores of the quotas, and what the exchange costs.
+// which tries pass, against the true stores of the quotas, and what the exchange costs; and when rule
+// sets that were agreed on are in force.
 package virtual
 
 import (
@@ -12,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"martennotch/control"
+	"martennotch/fleet/rules"
 	"martennotch/fleet/share"
 	"martennotch/internal/lab/agenda"
 	"martennotch/internal/lab/judge"
@@ -83,6 +85,12 @@
 
 // Run plays a day's first tries in one way; loss is the part of the messages that is lost.
 func Run(d *scenario.Day, way Way, loss float64) judge.Figures {
+	switch way {
+	case RulesOverlap:
+		return RunRules(d, rules.Overlap, loss)
+	case RulesExclusive:
+		return RunRules(d, rules.Exclusive, loss)
+	}
 	p := &play{d: d, way: way, loss: loss, rng: rand.New(rand.NewPCG(d.Seed, 5)), nodes: make([]node, len(d.Nodes)),
 		age: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
 	quotas, held := map[uint32]share.Quota{}, []ledger.Quota{}
