--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -1,10 +1,10 @@
 // Package virtual plays the tries of a drawn day in virtual time against the pure parts of what
 // nodes share, at sizes that no machine holds as processes. It has no servers: what is measured is
-// which tries pass, against the true stores of the quotas, and what the exchange costs.
+// which tries pass, against the true stores of the quotas, and what the exchange costs; and when rule
+// sets that were agreed on are in force.
 package virtual
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -13,7 +13,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"martennotch/control"
+	"martennotch/fleet/rules"
 	"martennotch/fleet/share"
+	"martennotch/internal/lab/agenda"
 	"martennotch/internal/lab/judge"
 	"martennotch/internal/lab/ledger"
 	"martennotch/internal/lab/scenario"
@@ -38,27 +40,6 @@
 	leasePart   = 0.25
 )
 
-type event struct {
-	at time.Duration
-	n  int // in order of making, so that a play is the same each time
-	do func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // play is one play in progress.
 type play struct {
 	d       *scenario.Day
@@ -66,8 +47,7 @@
 	loss    float64
 	rng     *rand.Rand
 	now     time.Duration
-	events  queue
-	made    int
+	agenda  agenda.Agenda
 	truth   *ledger.Ledger
 	nodes   []node
 	owners  []int // by customer
@@ -105,6 +85,12 @@
 
 // Run plays a day's first tries in one way; loss is the part of the messages that is lost.
 func Run(d *scenario.Day, way Way, loss float64) judge.Figures {
+	switch way {
+	case RulesOverlap:
+		return RunRules(d, rules.Overlap, loss)
+	case RulesExclusive:
+		return RunRules(d, rules.Exclusive, loss)
+	}
 	p := &play{d: d, way: way, loss: loss, rng: rand.New(rand.NewPCG(d.Seed, 5)), nodes: make([]node, len(d.Nodes)),
 		age: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
 	quotas, held := map[uint32]share.Quota{}, []ledger.Quota{}
@@ -140,17 +126,15 @@
 	for i := range d.Arrivals {
 		p.after(d.Arrivals[i].At, func() { p.arrive(&d.Arrivals[i]) })
 	}
-	for p.events.Len() > 0 {
-		e := heap.Pop(&p.events).(event)
-		p.now = e.at
-		e.do()
-	}
+	p.agenda.Run()
 	return p.figures()
 }
 
 func (p *play) after(wait time.Duration, do func()) {
-	p.made++
-	heap.Push(&p.events, event{p.now + wait, p.made, do})
+	p.agenda.After(wait, func() {
+		p.now = p.agenda.Now
+		do()
+	})
 }
 
 func (p *play) arrive(a *scenario.Arrival) {
