Go by servers' own word where discovery answers and tells nothing for 6 s

Need: what a node misses counts as told 6 s after the last word. Where discovery is there and turns calls away, or sends what is no list, the rule on drains binds and the node can know it; it went on by its list.

TestListIsDoubtedWhenTheRuleBinds and TestDoubtLeavesOnlyServersThatVouch fail without it.

--- /dev/null
+++ b/internal/node/doubt_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Where discovery answers and tells nothing, requests go only to servers that say for themselves that
+// they serve, and to none where these may not be asked; when it speaks again, to all that it lists.
+func TestDoubtLeavesOnlyServersThatVouch(t *testing.T) {
+	for probes, want := range map[bool]int{true: 1, false: 0} {
+		r := newRigWith(t, func(c *Config) { c.Settings.Probes, c.Settings.DrainGrace = probes, 400*time.Millisecond })
+		sound := newApp(t, served)
+		drains := newApp(t, func(w http.ResponseWriter, q *http.Request) {
+			if q.URL.Path == "/healthz" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		r.list(sound.target("s-1", 0), drains.target("s-2", 1))
+		up := func() int {
+			n := 0
+			for _, s := range r.node.loop.ids {
+				if r.node.loop.pools[s] != nil {
+					n++
+				}
+			}
+			return n
+		}
+		r.wait("both are listed", func() bool { return up() == 2 })
+		r.node.discovery.doubt(true)
+		r.wait("who vouches", func() bool { return up() == want })
+		resp, _ := r.do(r.call(http.MethodGet, "/roster-read", "id-1"))
+		require.Equal(t, probes, resp.StatusCode == http.StatusOK)
+		require.Equal(t, "up", r.node.loopTarget("s-2").State, "what is listed is not forgotten")
+		r.node.discovery.doubt(false)
+		r.wait("all are back", func() bool { return up() == 2 })
+	}
+}
+
+// loopTarget gives an entry of the list, on the loop's goroutine.
+func (n *Node) loopTarget(uid string) target {
+	c := make(chan target, 1)
+	n.loop.post(func() { c <- n.loop.targets[uid] })
+	return <-c
+}
--- a/internal/node/listwatch.go
+++ b/internal/node/listwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -24,6 +25,11 @@
 	tell   func(listing)
 	pace   pace
 
+	asked   bool          // lists are asked for: what stays silent counts as told too
+	doubt   func(on bool) // told when the list that is held can't be gone by any more, and when it can
+	refused bool          // the latest call ended with nothing of use, and did not stay silent
+	doubted bool
+
 	mu    sync.Mutex
 	at    string             // the address in force, or to move to
 	next  string             // the address to move to; "" is none
@@ -39,7 +45,7 @@
 // drain are forgiven for a grace.
 func newWatcher(addr string, known listing, group int, grace time.Duration, seed uint64, tell func(listing)) *watcher {
 	rng := rand.New(rand.NewPCG(seed, watchStream))
-	w := &watcher{url: watchURL(addr), at: addr, rev: known.Rev, tell: tell, leave: func() {},
+	w := &watcher{url: watchURL(addr), at: addr, rev: known.Rev, tell: tell, doubt: func(bool) {}, leave: func() {},
 		pace: pace{group: group, grace: grace,
 			jitter: func(most time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(most) + 1)) }},
 		// Guards against no bound but that on dialing: while discovery is down a call stays open, and
@@ -104,7 +110,8 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	said := make(chan word)
-	var open []*call
+	var open []*call // oldest first
+	var latest *call
 	drop := func(c *call) { c.cancel(context.Canceled) }
 	defer func() {
 		for _, c := range open {
@@ -113,6 +120,9 @@
 	}()
 	wake := time.NewTimer(first)
 	defer wake.Stop()
+	w.refused = false
+	bound := time.NewTimer(time.Until(w.pace.due))
+	defer bound.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -120,13 +130,20 @@
 		case <-wake.C:
 			if len(open) > 0 {
 				slog.Warn("discovery: silent, asking anew", "rev", w.rev, "open", len(open))
+				if open[len(open)-1] == latest { // else it has ended, and one that fell silent before is open
+					w.refused = false
+					w.weigh()
+				}
 			}
 			if len(open) == callsMost {
 				drop(open[0])
 				open = open[1:]
 			}
-			open = append(open, w.call(ctx, &parts, said))
+			latest = w.call(ctx, &parts, said)
+			open = append(open, latest)
 			wake.Reset(w.pace.beside(time.Now()))
+		case <-bound.C:
+			w.weigh()
 		case s := <-said:
 			i := slices.Index(open, s.from)
 			if i < 0 {
@@ -145,10 +162,16 @@
 				open = []*call{s.from}
 				w.pace.word(time.Now())
 				wake.Reset(w.pace.silent())
+				bound.Reset(listTold)
+				w.refused = false
+				w.weigh()
 				continue
 			}
 			slog.Warn("discovery: watch ended", "rev", w.rev, "heard", s.from.heard, "err", s.err)
 			drop(s.from)
+			var timeout net.Error
+			w.refused = !errors.As(s.err, &timeout) || !timeout.Timeout()
+			w.weigh()
 			last := i == len(open)-1
 			if open = slices.Delete(open, i, i+1); last {
 				wake.Reset(w.pause(s.from))
@@ -157,6 +180,17 @@
 	}
 }
 
+// weigh tells whether the list that is held can still be gone by. What was missed counts as told at
+// due; but where lists are pushed, an agent that stays silent has nothing to tell.
+func (w *watcher) weigh() {
+	on := (w.refused || w.asked) && !time.Now().Before(w.pace.due)
+	if on != w.doubted {
+		w.doubted = on
+		slog.Warn("discovery: the list that is held is in doubt", "on", on, "rev", w.rev, "refused", w.refused)
+		w.doubt(on)
+	}
+}
+
 // pause is how long after the end of the newest call another is made.
 func (w *watcher) pause(c *call) time.Duration {
 	now := time.Now()
--- a/internal/node/listwatch_test.go
+++ b/internal/node/listwatch_test.go
@@ -21,11 +21,13 @@
 	mu      sync.Mutex
 	start   time.Time
 	quiet   time.Duration                         // when the watches fall silent
+	asked   bool                                  // lists are asked for
 	breaks  bool                                  // they are reset then
 	answer  func(n, nth int) (int, time.Duration) // how a call after that is answered, and how late
 	calls   []time.Duration                       // after that
 	of      map[int]int                           // calls of each node
 	word    map[int]time.Duration                 // the last that each node heard before
+	doubted map[int]time.Duration                 // when each gave its list up
 	inForce map[int]time.Duration                 // when each had the change
 }
 
@@ -88,7 +90,7 @@
 
 // play has a group watch for a while.
 func (h *herd) play(t *testing.T, group int, grace, length time.Duration) {
-	h.of, h.word, h.inForce = map[int]int{}, map[int]time.Duration{}, map[int]time.Duration{}
+	h.of, h.word, h.inForce, h.doubted = map[int]int{}, map[int]time.Duration{}, map[int]time.Duration{}, map[int]time.Duration{}
 	synctest.Test(t, func(t *testing.T) {
 		h.start = time.Now()
 		ctx, cancel := context.WithCancel(t.Context())
@@ -100,6 +102,14 @@
 				defer h.mu.Unlock()
 				h.inForce[n] = h.now()
 			})
+			w.asked = h.asked
+			w.doubt = func(on bool) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if delete(h.doubted, n); on {
+					h.doubted[n] = h.now()
+				}
+			}
 			w.client.Transport = member{h, n, time.Duration(rng.Int64N(int64(2 * time.Second)))}
 			all.Go(func() { w.run(ctx) })
 		}
@@ -223,3 +233,38 @@
 	}
 	require.LessOrEqual(t, later, 300*30/4)
 }
+
+// The list is given up 6 s after the last word where discovery answers and tells nothing, or, where lists
+// are asked for, is silent; an agent that is silent has nothing to tell.
+func TestListIsDoubtedWhenTheRuleBinds(t *testing.T) {
+	for _, x := range []struct {
+		name          string
+		asked, breaks bool
+		doubted       bool
+		answer        func(int, int) (int, time.Duration)
+	}{
+		{"turned away", false, false, true, func(int, int) (int, time.Duration) { return 503, 0 }},
+		{"pushed, reset and then silent", false, true, false, func(int, int) (int, time.Duration) { return 200, time.Hour }},
+		{"pushed and silent", false, false, false, func(int, int) (int, time.Duration) { return 200, time.Hour }},
+		{"asked for and silent", true, false, true, func(int, int) (int, time.Duration) { return 200, time.Hour }},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			h := &herd{quiet: 10 * time.Second, asked: x.asked, breaks: x.breaks, answer: x.answer}
+			h.play(t, 40, 2*time.Second, 30*time.Second)
+			require.Equal(t, x.doubted, len(h.doubted) > 0)
+			require.True(t, len(h.doubted) == 0 || len(h.doubted) == 40)
+			for n, at := range h.doubted {
+				require.InDelta(t, (h.word[n] + listTold).Seconds(), at.Seconds(), 0.01)
+			}
+		})
+	}
+	h := &herd{quiet: 10 * time.Second}
+	h.answer = func(int, int) (int, time.Duration) {
+		if h.now() < 20*time.Second {
+			return 503, 0
+		}
+		return 200, 0
+	}
+	h.play(t, 40, 2*time.Second, 40*time.Second)
+	require.Empty(t, h.doubted, "discovery has spoken again")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,9 @@
 			n.learn(kind, news)
 		})
 	})
+	d := newDoubt(cfg.Settings, l)
+	n.discovery.asked = cfg.Settings.OnRequest
+	n.discovery.doubt = func(on bool) { l.post(func() { d.turn(on) }) }
 	return n, nil
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -20,6 +20,11 @@
 // list takes in what discovery tells. What is no longer listed is forgotten.
 func (l *loop) list(kind control.ListKind, news listing) {
 	l.keep(kind, news)
+	l.show(kind, news)
+}
+
+// show has the module and the pools go by a list.
+func (l *loop) show(kind control.ListKind, news listing) {
 	e := control.List{Kind: kind}
 	listed := make(map[string]bool)
 	for i := range news.Targets {
