--- a/fleet/rules/world_test.go
+++ b/fleet/rules/world_test.go
@@ -217,7 +217,7 @@
 	}
 	if w.reg.s.Prepared {
 		number := w.reg.s.Awaited[0]
-		if _, ok := w.clone().nodes[w.leader].Ready(w.at(w.leader)); ok || w.plant == early {
+		if w.at(w.leader) >= w.nodes[w.leader].g.readyAt() || w.plant == early {
 			add(true, func(w *world) {
 				w.commit = w.tick
 				w.do(Command{Commit: &Commit{Number: number, Step: w.reg.s.Step}})
