--- a/internal/lab/late/late.go
+++ b/internal/lab/late/late.go
@@ -29,7 +29,7 @@
 // kinds of faults that the world here has. What strikes lists, counter or nodes' talk alone is nothing
 // to a policy that needs none of these.
 var kinds = []string{"kill", "restart", "stop", "slow", "errors", "pause", "shared", "crash", "zone", "split", "oneway", "replace",
-	"burst", "dark", "spoilt", "move", "counter"}
+	"burst", "dark", "silent", "spoilt", "move", "counter"}
 
 // world is a day in progress.
 type world struct {
