Let links of the stand-in drop, stall, trickle and lag, and nodes' disks fail

Kinds drop (silent or reset), stall, trickle and lag name links of peers, servers, agents and clients; disk and power fail disks by the program built for the lab, which fleetlab builds only for a scenario that names them. same gives a fault the nodes of another, so that a disk lies and then loses power.

--- a/internal/lab/judge/price.go
+++ b/internal/lab/judge/price.go
@@ -124,6 +124,9 @@
 	j.add("waste", waste/max(work, 1e-9), "of work done")
 	j.add("cross_zone", cross/max(attempts, 1), "of attempts")
 	j.add("cold_falls", float64(len(j.book.Fallen)), "servers")
+	if j.day.File.Disks() {
+		j.add("disk_undone", float64(j.book.Undone), "steps that disks lost with their power")
+	}
 	j.add("probes", float64(j.book.Probes)/max(n, 1), "a try")
 	j.add("handshakes", float64(j.book.Opened)/max(n, 1), "a try")
 	j.add("p50", float64(h.ValueAtQuantile(50))/1000, "ms")
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -106,6 +106,11 @@
 	if ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
+	if d.File.Disks() {
+		if err := p.driven(); err != nil {
+			return nil, err
+		}
+	}
 	p.book.Talk = p.peerTraffic()
 	p.stopNodes()
 	for _, paths := range p.paths {
@@ -133,7 +138,7 @@
 	for i, s := range p.servers {
 		s.Stop()
 		for _, path := range p.paths[i] {
-			path.Change(func(s *link.State) { s.HoldUp, s.HoldDown = false, false })
+			path.Clear()
 		}
 	}
 	for _, a := range p.agents {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"martennotch/internal/lab/judge"
 	"martennotch/internal/lab/scenario"
@@ -55,6 +56,9 @@
 		set       []string
 	}{
 		{"honest", "", nil},
+		// What a node's clients never hear while their link fails is not the node's fault.
+		{"honest", "", []string{lines("[[fault]]", `kind = "stall"`, "at_s = 0.5", "for_s = 2.2", "share = 0.5", `links = ["clients"]`,
+			"[[fault]]", `kind = "drop"`, "at_s = 0.5", "for_s = 1", "share = 0.5", "size = 0.5", "reset = true", `links = ["clients", "servers"]`)}},
 		{"lost", "lost", nil},
 		{"broken", "lost", nil},
 		{"forge", "lost", nil},
@@ -109,6 +113,16 @@
 	}
 }
 
+// A program that was not built for the lab can't be played with disks that fail.
+func TestDisksNeedTheLabsProgram(t *testing.T) {
+	t.Parallel()
+	self, err := os.Executable()
+	require.NoError(t, err)
+	d := small(t, lines("[[fault]]", `kind = "disk"`, "at_s = 0.5", "for_s = 1", "share = 0.5", `how = "full"`))
+	_, err = Play(t.Context(), d, Options{Deploy: &Deploy{Root: t.TempDir(), Run: "exec " + self}, Env: []string{fakeVariable + "=honest"}})
+	require.ErrorContains(t, err, "build the program with the tag lab")
+}
+
 // A node that grants all that is asked sends on what is beyond quotas; the judge's own account of
 // the stores shows it.
 func TestJudgeFindsGrantsBeyondQuota(t *testing.T) {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -15,6 +15,7 @@
 	"martennotch/internal/lab/proc"
 	"martennotch/internal/lab/record"
 	"martennotch/internal/lab/scenario"
+	"martennotch/internal/store/disk/lying"
 )
 
 // Deploy is what the deploy file says of the program.
@@ -50,7 +51,8 @@
 	discovery int    // the port at which discovery is now
 	starts    int
 	process   *proc.Process
-	wanted    bool // it is to run; else its end is no crash
+	wanted    bool              // it is to run; else its end is no crash
+	faults    []*scenario.Event // of its disk, in force
 }
 
 // ended gives how a node that is to run has ended, or nil.
@@ -106,6 +108,9 @@
 	n.starts++
 	env := append(os.Environ(), "NODE_NAME="+n.Name, "NODE_LISTEN="+p.address(n.index, portListen),
 		"NODE_DISCOVERY="+p.address(n.index, n.discovery), "NODE_CONFIG="+path, "NODE_CONSOLE="+p.address(n.index, portConsole), "TMPDIR="+tmp)
+	if p.day.File.Disks() {
+		env = append(env, lying.Variable+"="+p.diskOf(n))
+	}
 	if n.fleet != "" {
 		env = append(env, "NODE_FLEET="+n.fleet)
 	}
@@ -148,12 +153,13 @@
 	return x
 }
 
-// killed tells whether a node was killed outright within a span.
+// killed tells whether a node was killed outright, or cut off from its clients, within a span.
 func (p *play) killed(index int, from, to time.Duration) (yes bool) {
 	p.book.With(func() {
 		for _, r := range p.book.Runs {
 			yes = yes || r.Node == index && r.Killed && r.To >= from && r.To <= to
 		}
+		yes = yes || p.book.CutWithin(record.Pair{Node: index, Server: record.Front}, from, to)
 	})
 	return yes
 }
@@ -291,3 +297,9 @@
 func (d *Deploy) Make(ctx context.Context) error {
 	return proc.Run(ctx, d.Root, d.Build)
 }
+
+// Lab is the same program built for the lab, beside the deployed one: its disk can be made to fail.
+func (d *Deploy) Lab() *Deploy {
+	return &Deploy{Root: d.Root, Run: "exec bin/lab/lockflow",
+		Build: "mkdir -p bin/lab && CGO_ENABLED=1 go build -tags lab -ldflags=-linkmode=external -o bin/lab/ ./cmd/lockflow"}
+}
--- a/internal/lab/scenario/day.go
+++ b/internal/lab/scenario/day.go
@@ -109,6 +109,16 @@
 	Kind    string
 	Targets []int // nodes, servers or a zone, by kind
 	Size    float64
+	Links   []Link `json:",omitempty"`
+	Reset   bool   `json:",omitempty"`
+	How     string `json:",omitempty"`
+}
+
+// Link is what joins a node and another party, and the directions of it that a fault concerns.
+type Link struct {
+	Kind        string // "peers", "servers", "agents", "clients"
+	Node, Other int    // a node, a server; below zero where there is one alone
+	Out, In     bool   // from the node, to it
 }
 
 // rngFor is a stream of its own for each matter, so that drawing one more figure of one kind
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -169,13 +169,19 @@
 
 // Fault is one line of the timetable.
 type Fault struct {
-	AtS   Range `toml:"at_s"`
-	ForS  Range `toml:"for_s"`
-	Kind  string
-	Share Range   // of the nodes or servers that it takes
-	Zone  *int    // drawn when not given
-	Size  Range   // factor, rate or delay, by kind
-	EachS float64 `toml:"each_s"`
+	AtS       Range `toml:"at_s"`
+	ForS      Range `toml:"for_s"`
+	Kind      string
+	Share     Range    // of the nodes, servers or pairs that it takes
+	Zone      *int     // drawn when not given; of links and disks, all zones when not given
+	Size      Range    // factor, rate, delay or part, by kind
+	EachS     float64  `toml:"each_s"`
+	Same      int      // takes the nodes that the fault with this number takes, counted from 1; 0 is its own
+	Links     []string // of nodes that fail: "peers", "servers", "agents", "clients"
+	Pairs     bool     // share is one of the single links, not of the nodes with all of theirs
+	Direction string   // that fails: "out" of the node or "in" to it; "" is both
+	Reset     bool     // what drops is reset, not silent
+	How       string   // of a disk and of the end of its power
 }
 
 // Gate is what a play has to reach. A scenario's gate is set before it is played: from the rules,
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -80,6 +80,8 @@
 	}
 }
 
+const drop = "base = \"calm.toml\"\n[[fault]]\nkind = \"drop\"\nfor_s = 1\nshare = 0.5\n"
+
 func TestBadFilesAreNamedInOneLine(t *testing.T) {
 	for text, want := range map[string]string{
 		`name = "x"` + "\nspeed = 3":                               "line 2: unknown key speed",
@@ -92,6 +94,13 @@
 		"base = \"calm.toml\"\n[[fault]]\nkind = \"kill\"":         "share",
 		"base = \"calm.toml\"\n[[fault]]\nkind = \"dark\"\nat_s=3": "for_s",
 		"base = \"calm.toml\"\nclients.arrivals = \"none.csv\"":    "",
+		drop + "links = [\"wires\"]":                               "links: \"wires\"",
+		drop + "direction = \"up\"\nlinks = [\"peers\"]":           "direction: \"up\"",
+		drop + "how = \"full\"\nlinks = [\"peers\"]":               "how: a disk",
+		drop + "same = 1\nlinks = [\"peers\"]":                     "same: there is no fault 1",
+		drop + "size = 2\nlinks = [\"peers\"]":                     "size: {2 2} is no part",
+		drop:                                                       "links: none",
+		"base = \"calm.toml\"\n[[fault]]\nkind = \"disk\"\nshare=1\nfor_s=1\nhow=\"hot\"": "how: \"hot\"",
 	} {
 		path := filepath.Join(t.TempDir(), "x.toml")
 		calm, err := os.ReadFile(dir + "calm.toml")
--- a/internal/store/disk/lying/undo.go
+++ b/internal/store/disk/lying/undo.go
@@ -14,7 +14,10 @@
 )
 
 const (
-	undoName  = "undo"
+	// UndoName is the file of the notes, in the folder by which a disk is driven; it is there once a
+	// process has one.
+	UndoName = "undo"
+
 	stepsMost = 2000     // steps that can be undone; of more the older half has come to the disk
 	bytesMost = 64 << 20 // of the notes and of the files put aside
 )
@@ -68,7 +71,7 @@
 
 // notes reads the notes of a folder; what is cut at the end is left out.
 func notes(dir string) (all []undo, err error) {
-	raw, err := os.ReadFile(filepath.Join(dir, undoName))
+	raw, err := os.ReadFile(filepath.Join(dir, UndoName))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -90,7 +93,7 @@
 	if j.file != nil {
 		j.file.Close()
 	}
-	f, err := os.OpenFile(filepath.Join(j.dir, undoName), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	f, err := os.OpenFile(filepath.Join(j.dir, UndoName), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
 	}
@@ -222,7 +225,7 @@
 
 // write leaves so many notes.
 func write(dir string, all []undo) error {
-	f, err := os.Create(filepath.Join(dir, undoName))
+	f, err := os.Create(filepath.Join(dir, UndoName))
 	if err != nil {
 		return err
 	}
