--- /dev/null
+++ b/cmd/lockflow/council_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"net/http"
+	"net/url"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Three voters and two learners: both kinds of activation come into force, by whatever node the
+// operators call, and the leader's death costs no version.
+func TestCouncil(t *testing.T) {
+	t.Parallel()
+	f := newCouncilFleet(t, 3, 5)
+	all := []int{0, 1, 2, 3, 4}
+	one := f.publish(4, 1)
+	f.activate(3, one, "overlap")
+	t.Logf("first: %v", f.acting(one, 8*time.Second, all...))
+	two := f.publish(2, 2)
+	f.activate(1, two, "exclusive")
+	t.Logf("exclusive: %v", f.acting(two, 8*time.Second, all...))
+	status, text := f.call(3, "publish", nil, "[plans.gold]\nprice = 1.0\n")
+	require.Equal(t, http.StatusBadRequest, status, text)
+	status, text = f.call(3, "publish", url.Values{"parent": {"1"}}, "")
+	require.Equal(t, http.StatusConflict, status, text)
+
+	leader := f.leader(all...)
+	f.kill(leader)
+	rest := []int{(leader + 1) % 3, (leader + 2) % 3, 3, 4}
+	begun := time.Now()
+	three := f.publish(4, 3)
+	t.Logf("agreed %v after the leader's death", time.Since(begun))
+	f.activate(4, three, "overlap")
+	t.Logf("overlap: %v", f.acting(three, 8*time.Second, rest...))
+	require.NoError(t, os.RemoveAll(f.nodes[leader].dir))
+	f.start(leader)
+	s := f.voting(leader)
+	f.acting(three, 8*time.Second, leader)
+	require.NotEmpty(t, s.Voter.Identity)
+	back := f.must(3, "back", url.Values{"to": {"1"}, "kind": {"exclusive"}}, "")
+	f.acting(back, 10*time.Second, all...)
+}
--- /dev/null
+++ b/cmd/lockflow/councilfleet_test.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"martennotch/internal/lab/link"
+	"martennotch/internal/store/disk/lying"
+)
+
+// councilBin builds the program for the lab, whose disk can fail, once for all tests.
+var councilBin = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "council")
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(dir, "lockflow")
+	if out, err := exec.Command("go", "build", "-tags", "lab", "-o", bin, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return bin, nil
+})
+
+// citizen is a node of a council's fleet.
+type citizen struct {
+	name    string
+	dir     string // of its council's part
+	drive   string // by which its disk is driven
+	env     []string
+	listen  string // where clients come
+	console string
+	log     string
+	cmd     *exec.Cmd
+	done    chan struct{}
+}
+
+// councilFleet is nodes as processes, the first of which vote.
+type councilFleet struct {
+	t     *testing.T
+	bin   string
+	block string // of addresses
+	nodes []*citizen
+	paths [][]*link.Path // from a node to another
+	seen  *attempts
+}
+
+// Ports of a node at its own address, and of the ways from it to others.
+const (
+	atClients = 7000 + iota
+	atConsole
+	atPeers
+	atCouncil
+	toPeers   = 7100
+	toCouncil = 7200
+)
+
+// block takes addresses of the machine that nobody else uses: 127.N.M.1 and on, by listening at the last.
+func block(t *testing.T) string {
+	for {
+		at := fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(256))
+		if l, err := net.Listen("tcp", at+"254:7000"); err == nil {
+			t.Cleanup(func() { l.Close() })
+			return at
+		}
+	}
+}
+
+func (f *councilFleet) address(i, port int) string { return fmt.Sprint(f.block, i+1, ":", port) }
+
+func newCouncilFleet(t *testing.T, voters, nodes int) *councilFleet {
+	bin, err := councilBin()
+	require.NoError(t, err)
+	f := &councilFleet{t: t, bin: bin, block: block(t)}
+	raw, err := os.ReadFile(testConfig)
+	require.NoError(t, err)
+	var votes, seeds []string
+	for i := range voters {
+		votes = append(votes, fmt.Sprintf("{name = 'n%d', address = %q}", i, f.address(i, atCouncil)))
+		seeds = append(seeds, fmt.Sprintf("%q", f.address(i, atPeers)))
+	}
+	f.seen = newAttempts(t)
+	top := t.TempDir()
+	for i := range nodes {
+		n := &citizen{name: fmt.Sprint("n", i), console: f.address(i, atConsole), listen: f.address(i, atClients)}
+		at := filepath.Join(top, n.name)
+		n.dir, n.drive, n.log = filepath.Join(at, "council"), filepath.Join(at, "drive"), filepath.Join(at, "log")
+		require.NoError(t, os.MkdirAll(at, 0o700))
+		var cfg map[string]any
+		require.NoError(t, json.Unmarshal(raw, &cfg))
+		set := cfg["settings"].(map[string]any)
+		cfg["name"], set["self-index"], set["group-size"] = n.name, i, nodes
+		set["zone"] = []string{"z1", "z2", "z3"}[i%3]
+		set["limits"].(map[string]any)["peer-messages"] = true
+		cfg["known"] = map[string]any{"rev": 1, "all": true, "targets": []any{map[string]any{"uid": "s-1", "endpoint": f.seen.address, "az": "z1", "state": "up"}}}
+		out, err := json.Marshal(cfg)
+		require.NoError(t, err)
+		config, file := filepath.Join(at, "config.json"), filepath.Join(at, "fleet.toml")
+		require.NoError(t, os.WriteFile(config, out, 0o600))
+		require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, "[regions]\nr = ['z1', 'z2', 'z3']\n[council]\ndir = %q\nheader = 'X-Rules'\nvoters = [%s]\n[peers]\nlabel = 'test'\nport = %d\nseeds = [%s]\n[peers.via]\n%s",
+			n.dir, strings.Join(votes, ", "), atPeers, strings.Join(seeds, ", "), f.ways(i, voters, nodes)), 0o600))
+		n.env = append(os.Environ(), "NODE_CONFIG="+config, "NODE_FLEET="+file, "NODE_LISTEN="+n.listen, "NODE_CONSOLE="+n.console, lying.Variable+"="+n.drive)
+		f.nodes = append(f.nodes, n)
+		f.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range f.nodes {
+			f.kill(i)
+		}
+		if t.Failed() {
+			for _, n := range f.nodes {
+				log, _ := os.ReadFile(n.log)
+				t.Logf("%s:\n%s", n.name, log)
+			}
+		}
+	})
+	return f
+}
+
+// ways puts forwarders between a node and the others, and gives the lines of its fleet file.
+func (f *councilFleet) ways(i, voters, nodes int) string {
+	var lines strings.Builder
+	row := make([]*link.Path, nodes)
+	for j := range nodes {
+		if i == j {
+			continue
+		}
+		row[j] = link.NewPath(i, j, 0)
+		forward := func(from, to string) {
+			way, err := row[j].Forward(from, to, nil)
+			require.NoError(f.t, err)
+			f.t.Cleanup(way.Close)
+			fmt.Fprintf(&lines, "%q = %q\n", to, way.Address())
+		}
+		forward(f.address(i, toPeers+j), f.address(j, atPeers))
+		if j < voters {
+			forward(f.address(i, toCouncil+j), f.address(j, atCouncil))
+		}
+	}
+	f.paths = append(f.paths, row)
+	return lines.String()
+}
+
+// cut puts a trouble on all ways between a node and the others, until it is ended.
+func (f *councilFleet) cut(i int, x link.Trouble) (end func()) {
+	var ends []func()
+	for j := range f.nodes {
+		if i != j {
+			ends = append(ends, f.paths[i][j].Begin(x), f.paths[j][i].Begin(x))
+		}
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+func (f *councilFleet) start(i int) {
+	n := f.nodes[i]
+	log, err := os.OpenFile(n.log, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	require.NoError(f.t, err)
+	defer log.Close()
+	n.cmd = exec.Command(f.bin)
+	n.cmd.Env, n.cmd.Stdout, n.cmd.Stderr = n.env, log, log
+	require.NoError(f.t, n.cmd.Start())
+	n.done = make(chan struct{})
+	go func() { n.cmd.Wait(); close(n.done) }()
+}
+
+func (f *councilFleet) signal(i int, s syscall.Signal) {
+	require.NoError(f.t, f.nodes[i].cmd.Process.Signal(s))
+}
+
+// kill ends a node at once.
+func (f *councilFleet) kill(i int) {
+	f.nodes[i].cmd.Process.Kill()
+	<-f.nodes[i].done
+}
+
+// councilStatus is what a node says.
+type councilStatus struct {
+	Version, Known uint64
+	Why, Refusal   string
+	Voter          *struct {
+		Phase, Identity, Leader, Why string
+		Renewed                      int
+	}
+	Council *struct {
+		Leader         string
+		Newest, Active uint64
+		Versions       []struct {
+			Number       uint64
+			Digest, Fate string
+		}
+		Nodes []struct {
+			Version uint64
+			Nodes   int
+		}
+		Refusing int
+	}
+}
+
+var councilClient = http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// status asks a node; nil is no answer.
+func (f *councilFleet) status(i int) *councilStatus {
+	resp, err := councilClient.Get("http://" + f.nodes[i].console + "/council/status")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	s := &councilStatus{}
+	if json.NewDecoder(resp.Body).Decode(s) != nil {
+		return nil
+	}
+	return s
+}
+
+// call has a node do an operators' call.
+func (f *councilFleet) call(i int, path string, q url.Values, body string) (status int, text string) {
+	resp, err := councilClient.Post("http://"+f.nodes[i].console+"/council/"+path+"?"+q.Encode(), "text/plain", strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw)
+}
+
+// must does a call until it is answered with yes, and gives the version's number.
+func (f *councilFleet) must(i int, path string, q url.Values, body string) (number uint64) {
+	f.t.Helper()
+	last := ""
+	for late := time.Now().Add(15 * time.Second); time.Now().Before(late); time.Sleep(50 * time.Millisecond) {
+		status, text := f.call(i, path, q, body)
+		if last = fmt.Sprint(status, " ", text); status == http.StatusOK {
+			var out struct{ Number uint64 }
+			require.NoError(f.t, json.Unmarshal([]byte(text), &out))
+			return out.Number
+		}
+		if status != http.StatusServiceUnavailable && status != 0 {
+			break
+		}
+	}
+	require.Fail(f.t, "refused", "%s: %s", path, last)
+	return 0
+}
+
+// publish publishes a text that no other call does.
+func (f *councilFleet) publish(i, salt int) uint64 {
+	return f.must(i, "publish", nil, fmt.Sprintf("# %d\n[plans.basic]\nprice = %d.5\n", salt, salt%100))
+}
+
+func (f *councilFleet) activate(i int, number uint64, kind string) {
+	f.must(i, "activate", url.Values{"number": {fmt.Sprint(number)}, "kind": {kind}}, "")
+}
+
+// acting waits until nodes go by a version.
+func (f *councilFleet) acting(number uint64, within time.Duration, nodes ...int) (took time.Duration) {
+	f.t.Helper()
+	begun := time.Now()
+	for _, i := range nodes {
+		for {
+			s := f.status(i)
+			if s != nil && s.Version == number {
+				break
+			}
+			if time.Since(begun) > within {
+				require.Fail(f.t, "not in force", "version %d at %s: %+v", number, f.nodes[i].name, s)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(begun)
+}
+
+// leader waits until one of some nodes says who leads, and gives the voter's index.
+func (f *councilFleet) leader(nodes ...int) int {
+	f.t.Helper()
+	for late := time.Now().Add(15 * time.Second); time.Now().Before(late); time.Sleep(20 * time.Millisecond) {
+		for _, i := range nodes {
+			if s := f.status(i); s != nil && s.Council != nil {
+				var n int
+				_, err := fmt.Sscanf(s.Council.Leader, "n%d", &n)
+				require.NoError(f.t, err)
+				return n
+			}
+		}
+	}
+	require.Fail(f.t, "nobody leads")
+	return 0
+}
+
+// voting waits until a voter votes.
+func (f *councilFleet) voting(i int) *councilStatus {
+	f.t.Helper()
+	var s *councilStatus
+	require.Eventually(f.t, func() bool { s = f.status(i); return s != nil && s.Voter != nil && s.Voter.Phase == "votes" },
+		20*time.Second, 50*time.Millisecond, "%s", f.nodes[i].name)
+	return s
+}
--- /dev/null
+++ b/cmd/lockflow/councilplays_test.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"martennotch/fleet/rules"
+	"martennotch/internal/lab/link"
+	"martennotch/internal/store/disk/lying"
+)
+
+var (
+	plays    = flag.Int("plays", 2, "plays of a council with drawn faults")
+	playSeed = flag.Uint64("playseed", 1, "of the first play")
+)
+
+// Operators publish, activate and read at any node, while processes die, stop, are cut off, lose their
+// folders and have disks that lie. More of it: go test ./cmd/lockflow -run CouncilPlays -plays 300 -timeout 3h
+func TestCouncilPlays(t *testing.T) {
+	t.Parallel()
+	for i := range *plays {
+		seed := *playSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			if *plays <= 4 {
+				t.Parallel()
+			}
+			councilPlay(t, seed)
+		})
+	}
+}
+
+func councilPlay(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0x636f756e))
+	voters := 3 + 2*int(seed%2)
+	f := newCouncilFleet(t, voters, voters+2)
+	h := newHistory(f)
+	ctx, stop := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	for i := range f.nodes {
+		work.Go(func() { f.ask(ctx, i) })
+	}
+	for client := range 2 {
+		own := rand.New(rand.NewPCG(seed, uint64(client)))
+		work.Go(func() { h.operate(ctx, client, own) })
+	}
+	f.leader(0, 1, 2, 3, 4)
+	for n := range 4 {
+		f.fault(rng, voters, fmt.Sprint(seed, " ", n))
+	}
+	all := make([]int, len(f.nodes))
+	for i := range all {
+		all[i] = i
+		if i < voters {
+			f.voting(i)
+		}
+	}
+	stop()
+	work.Wait()
+	last := f.must(0, "back", url.Values{"to": {fmt.Sprint(f.publish(len(all)-1, 1000+int(seed)))}, "kind": {"exclusive"}}, "")
+	h.kinds[last] = "exclusive"
+	f.acting(last, 15*time.Second, all...)
+	s := f.status(f.leader(all...))
+	require.NotNil(t, s)
+	require.NotNil(t, s.Council)
+	require.Len(t, s.Council.Versions, int(s.Council.Newest))
+	got, end := map[uint64]string{}, map[string]uint64{}
+	for _, v := range s.Council.Versions {
+		got[v.Number], end[v.Digest] = v.Digest, v.Number
+	}
+	for n, text := range h.texts {
+		assert.Equal(t, rules.DigestOf([]byte(text)).String(), got[n], "version %d, which was agreed", n)
+	}
+	h.judge(t, end)
+	f.seen.judge(t, h.kinds)
+}
+
+// operate publishes, activates and reads, mostly reads, until ctx ends.
+func (h *history) operate(ctx context.Context, client int, rng *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		at := rng.IntN(len(h.f.nodes))
+		text := fmt.Sprintf("# %d %d\n[plans.basic]\nprice = 1.5\n", client, n)
+		if rng.IntN(3) == 0 {
+			if number := h.publish(client, at, text); number != 0 {
+				kind := []string{"overlap", "exclusive"}[rng.IntN(2)]
+				h.mu.Lock()
+				h.kinds[number] = kind
+				h.mu.Unlock()
+				h.f.call(rng.IntN(len(h.f.nodes)), "activate", url.Values{"number": {fmt.Sprint(number)}, "kind": {kind}}, "")
+			}
+		} else {
+			h.read(client, at)
+		}
+		select {
+		case <-time.After(time.Duration(50+rng.IntN(400)) * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// fault draws one: of the one that leads half of the time, else of any. All but those that only wait
+// are over before the next, as one disk at a time may lie.
+func (f *councilFleet) fault(rng *rand.Rand, voters int, what string) {
+	i := rng.IntN(len(f.nodes))
+	if rng.IntN(2) == 0 {
+		i = f.leader(0, 1, 2, 3, 4)
+	}
+	pause := time.Duration(200+rng.IntN(2500)) * time.Millisecond
+	kind := rng.IntN(8)
+	f.t.Logf("%s: %d at %s for %v", what, kind, f.nodes[i].name, pause)
+	disk := f.nodes[i]
+	switch kind {
+	case 0:
+		f.kill(i)
+		time.Sleep(pause)
+		f.start(i)
+	case 1:
+		f.signal(i, syscall.SIGSTOP)
+		time.Sleep(2 * pause)
+		f.signal(i, syscall.SIGCONT)
+	case 2:
+		end := f.cut(i, []link.Trouble{{Drop: true}, {Drop: true, Up: true}, {Reset: true}, {Stall: true}, {Delay: pause / 4}}[rng.IntN(5)])
+		time.Sleep(2 * pause)
+		end()
+	case 3: // the folder is gone
+		f.kill(i)
+		time.Sleep(pause)
+		require.NoError(f.t, os.RemoveAll(disk.dir))
+		f.start(i)
+	case 4: // a bit is turned
+		f.kill(i)
+		f.turn(rng, disk.dir)
+		f.start(i)
+	case 5: // syncs say yes and bring nothing, and the power goes
+		require.NoError(f.t, lying.Set(disk.drive, lying.Faults{Lies: true}))
+		time.Sleep(pause)
+		f.kill(i)
+		_, err := lying.Lose(disk.drive, lying.Loss{})
+		require.NoError(f.t, err)
+		require.NoError(f.t, lying.Set(disk.drive, lying.Faults{}))
+		f.start(i)
+	case 6: // the disk fails, or stands still
+		x := []lying.Faults{{Errors: 0.5, Seed: rng.Uint64()}, {Stalled: true}, {ReadOnly: true}, {Full: true}}[rng.IntN(4)]
+		require.NoError(f.t, lying.Set(disk.drive, x))
+		time.Sleep(2 * pause)
+		require.NoError(f.t, lying.Set(disk.drive, lying.Faults{}))
+	case 7: // a majority, or all, at once
+		n := voters/2 + 1 + rng.IntN(voters/2+1)
+		for j := range n {
+			f.kill(j)
+		}
+		time.Sleep(pause)
+		for j := range n {
+			f.start(j)
+		}
+	}
+	if i < voters || kind == 7 {
+		for j := range voters {
+			f.voting(j)
+		}
+	}
+}
+
+// turn turns a bit of one of a folder's files.
+func (f *councilFleet) turn(rng *rand.Rand, dir string) {
+	var names []string
+	for _, n := range []string{"log", "meta", "snapshot", "acted"} {
+		if s, err := os.Stat(filepath.Join(dir, n)); err == nil && s.Size() > 0 {
+			names = append(names, n)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	name := filepath.Join(dir, names[rng.IntN(len(names))])
+	raw, err := os.ReadFile(name)
+	require.NoError(f.t, err)
+	raw[rng.IntN(len(raw))] ^= 1 << rng.IntN(8)
+	require.NoError(f.t, os.WriteFile(name, raw, 0o600))
+}
+
+// A node without [council] has nothing of it.
+func TestCouncilOff(t *testing.T) {
+	f := newCouncilFleet(t, 3, 3)
+	f.kill(0)
+	file := filepath.Join(filepath.Dir(f.nodes[0].dir), "fleet.toml")
+	raw, err := os.ReadFile(file)
+	require.NoError(t, err)
+	_, peers, _ := strings.Cut(string(raw), "[peers]")
+	require.NoError(t, os.WriteFile(file, []byte("[peers]"+peers), 0o600))
+	require.NoError(t, os.RemoveAll(f.nodes[0].dir))
+	f.start(0)
+	require.Eventually(t, func() bool {
+		resp, err := councilClient.Get("http://" + f.nodes[0].console + "/metrics")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+	status, _ := f.call(0, "publish", nil, "")
+	require.Equal(t, http.StatusNotFound, status)
+	require.NoDirExists(t, f.nodes[0].dir)
+}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -61,6 +62,8 @@
 	// Leading is told that this voter leads in a term, once all that was agreed before is applied,
 	// and that it leads no more, with term 0. It must not wait.
 	Leading func(term uint64)
+	// Changed is told that another voter leads, or none. It must not wait.
+	Changed func()
 }
 
 // Phases of a voter.
@@ -89,7 +92,8 @@
 type Voter struct {
 	cfg   Config
 	peers map[string]Peer
-	need  int // of the others that have to be heard before it votes
+	need  int           // of the others that have to be heard before it votes
+	ready atomic.Uint64 // term that it leads in with all before it applied; 0 is none
 
 	mu       sync.Mutex
 	link     *link.Link
@@ -309,23 +313,33 @@
 // lead tells of the times in which this voter leads.
 func (v *Voter) lead(ctx context.Context, r *raft.Raft, lead <-chan bool) {
 	tell := func(term uint64) {
+		v.ready.Store(term)
 		if v.cfg.Leading != nil {
 			v.cfg.Leading(term)
 		}
 	}
 	defer tell(0)
+	news := make(chan raft.Observation, 8)
+	watch := raft.NewObserver(news, false, func(o *raft.Observation) bool { _, ok := o.Data.(raft.LeaderObservation); return ok })
+	r.RegisterObserver(watch)
+	defer r.DeregisterObserver(watch)
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-news:
+			if v.cfg.Changed != nil {
+				v.cfg.Changed()
+			}
 		case on := <-lead:
 			if !on {
 				tell(0)
 				continue
 			}
-			// What was agreed before is applied first.
-			if err := r.Barrier(0).Error(); err == nil {
-				tell(r.CurrentTerm())
+			// What was agreed before is applied first, in the term that is told.
+			term := r.CurrentTerm()
+			if err := r.Barrier(0).Error(); err == nil && r.CurrentTerm() == term {
+				tell(term)
 			}
 		}
 	}
@@ -343,6 +357,18 @@
 	}
 }
 
+// Leader gives the name of the voter that leads; "" is not known.
+func (v *Voter) Leader() string {
+	v.mu.Lock()
+	r := v.raft
+	v.mu.Unlock()
+	if r == nil {
+		return ""
+	}
+	_, id := r.LeaderWithID()
+	return nameOf(id)
+}
+
 // Status tells how this voter is.
 func (v *Voter) Status() Status {
 	v.mu.Lock()
--- a/internal/council/machines.go
+++ b/internal/council/machines.go
@@ -30,7 +30,7 @@
 type StrangeError struct{ Machine byte }
 
 func (e *StrangeError) Error() string {
-	return fmt.Sprintf("council: no state machine %q here; bring all voters to one version of the program", e.Machine)
+	return fmt.Sprintf("council: a record: no state machine %q here; bring all voters to one version of the program", e.Machine)
 }
 
 // Apply takes what is agreed.
--- a/internal/council/propose.go
+++ b/internal/council/propose.go
@@ -14,14 +14,14 @@
 type NotLeaderError struct{ Leader Peer }
 
 func (e *NotLeaderError) Error() string {
-	return fmt.Sprintf("council: this node does not lead; ask %s at %s", e.Leader.Name, e.Leader.Address)
+	return fmt.Sprintf("council: this node: it does not lead; ask %s at %s", e.Leader.Name, e.Leader.Address)
 }
 
-// NoMajorityError tells that nothing can be agreed now.
-type NoMajorityError struct{ Phase string }
+// NoMajorityError tells that nothing can be agreed now; nodes go on by what they have.
+type NoMajorityError struct{ Phase string } // of the voter that was asked, or why none was reached
 
 func (e *NoMajorityError) Error() string {
-	return "council: no leader is known (this voter: " + e.Phase + "); start the voters that are down and look at the links between them, nodes go on by what they have"
+	return "council: no majority: " + e.Phase + "; start the voters that are down and look at the links between them"
 }
 
 // UnknownError tells that a proposal may have been agreed or not.
@@ -46,15 +46,20 @@
 	return f.Response(), nil
 }
 
-// Verify asks a majority whether this voter leads, by a round that begins after the call.
+// Verify asks a majority whether this voter leads, by a round that begins after the call. Without an
+// error all that was agreed before the call is applied here.
 func (v *Voter) Verify() error {
 	r, err := v.leading()
 	if err != nil {
 		return err
 	}
+	term := v.ready.Load()
 	if err := r.VerifyLeader().Error(); err != nil {
 		return v.explain(err)
 	}
+	if term == 0 || term != r.CurrentTerm() {
+		return &NoMajorityError{Phase: "a new leader takes over what was agreed"}
+	}
 	return nil
 }
 
--- a/internal/council/raftlog/meta.go
+++ b/internal/council/raftlog/meta.go
@@ -38,8 +38,8 @@
 	return v
 }
 
-// seal gives a value's bytes with magic and sum before them.
-func seal(magic string, v any) ([]byte, error) {
+// Seal gives a value's bytes with magic and sum before them.
+func Seal(magic string, v any) ([]byte, error) {
 	raw, err := encoding.Marshal(v)
 	if err != nil {
 		return nil, err
@@ -48,8 +48,8 @@
 	return append(binary.BigEndian.AppendUint32([]byte(magic), sum), raw...), nil
 }
 
-// unseal reads what seal has made.
-func unseal(magic, file string, raw []byte, v any) error {
+// Unseal reads what Seal has made.
+func Unseal(magic, file string, raw []byte, v any) error {
 	if len(raw) < headBytes || string(raw[:4]) != magic {
 		return &SpoiltError{File: file, Why: errors.New("no head")}
 	}
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	if err := unseal(metaMagic, metaName, raw, m); err != nil {
+	if err := Unseal(metaMagic, metaName, raw, m); err != nil {
 		return nil, false, err
 	}
 	if m.Node != node || m.Identity == "" {
@@ -111,7 +111,7 @@
 
 // write brings it to the disk.
 func (m *meta) write() error {
-	raw, err := seal(metaMagic, m)
+	raw, err := Seal(metaMagic, m)
 	if err != nil {
 		return err
 	}
--- a/internal/council/raftlog/raftlog.go
+++ b/internal/council/raftlog/raftlog.go
@@ -45,7 +45,7 @@
 type UsedError struct{ Dir string }
 
 func (e *UsedError) Error() string {
-	return fmt.Sprintf("council's log: %s is used by another process; end that one", e.Dir)
+	return fmt.Sprintf("council's log: %s: another process uses it; end that one, or give this node a folder of its own", e.Dir)
 }
 
 // Log is a voter's log, term, vote and snapshot. Once a write has failed, or a record was not as it
--- a/internal/council/raftlog/snapshot.go
+++ b/internal/council/raftlog/snapshot.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	x := &snapshot{}
-	return x, unseal(snapMagic, snapName, raw, x)
+	return x, Unseal(snapMagic, snapName, raw, x)
 }
 
 func (x *snapshot) meta() *raft.SnapshotMeta {
@@ -123,7 +123,7 @@
 		return nil
 	}
 	k.ended = true
-	raw, err := seal(snapMagic, &k.x)
+	raw, err := Seal(snapMagic, &k.x)
 	if err != nil {
 		return err
 	}
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -84,6 +84,9 @@
 			fmt.Fprintln(w, "serving")
 		}},
 	}
+	if c := n.loop.council; c != nil {
+		c.routes(calls)
+	}
 	if z := n.loop.zoning; z != nil {
 		calls["/zones"] = map[string]http.HandlerFunc{http.MethodGet: z.show, http.MethodPost: z.order}
 	}
--- /dev/null
+++ b/internal/node/council.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"martennotch/control"
+	"martennotch/fleet/rules"
+	agreement "martennotch/internal/council"
+	"martennotch/internal/council/learn"
+	"martennotch/internal/council/link"
+	"martennotch/internal/peer"
+	"martennotch/internal/store/disk"
+)
+
+const (
+	councilPlaces = 4  // descriptors set apart for calls of voters
+	voterPlaces   = 16 // and at a voter, for strangers, its log and each
+	eachPlaces    = 8  // other voter
+	councilEnd    = 500 * time.Millisecond
+)
+
+// council is the node's part in what the fleet decides together. The learner has a goroutine of its
+// own; the loop asks it at the begin of each request by what that goes.
+type council struct {
+	cfg      *CouncilConfig
+	name     string
+	loop     *loop
+	voter    *agreement.Voter // nil is that this node has no vote
+	registry *learn.Registry  // with voter
+	learner  *learn.Learner
+	link     *link.Link // by which it calls voters, where it is none
+	self     agreement.Peer
+	settings rules.Settings
+	peers    atomic.Pointer[peer.Peers] // nil until the membership has begun
+	ruled    uint64                     // version that the module was told of last; the loop's
+}
+
+// newCouncil makes the node's part, which does nothing before run.
+func newCouncil(cfg Config, l *loop) (*council, error) {
+	f := cfg.Fleet.Council
+	c := &council{cfg: f, name: cfg.Name, loop: l, settings: ruleSettings(cfg)}
+	fs := cmp.Or[disk.FS](cfg.Disk, disk.Machine{})
+	lc := learn.Config{Self: cfg.Settings.SelfIndex, Group: cfg.Settings.GroupSize, Name: cfg.Name, Zone: cfg.Settings.Zone,
+		Settings: c.settings, Terms: rules.Usual, Dir: f.Dir, Disk: fs, Send: c.send, Act: c.act}
+	var voters []agreement.Peer
+	for _, v := range f.Voters {
+		lc.Voters = append(lc.Voters, v.Name)
+		voters = append(voters, agreement.Peer{Name: v.Name, Address: v.Address})
+	}
+	if i := slices.Index(lc.Voters, cfg.Name); i >= 0 {
+		c.self = voters[i]
+		c.registry = learn.NewRegistry(func(w rules.Word) { c.learner.Learn(w) })
+		var err error
+		c.voter, err = agreement.New(agreement.Config{Label: cfg.Fleet.Peers.Label, Self: cfg.Name, Voters: voters, Dir: f.Dir, Disk: fs,
+			Via: cfg.Fleet.Peers.Via, Machines: map[byte]agreement.Machine{learn.Machine: c.registry},
+			Calls:   map[byte]func(string, []byte) []byte{callOffice: c.answer},
+			Leading: func(term uint64) { c.learner.Lead(term != 0) }, Changed: func() { c.learner.Changed() }})
+		if err != nil {
+			return nil, err
+		}
+		lc.Council, lc.Registry = c.voter, c.registry
+	} else {
+		var err error
+		if c.link, err = link.Open(link.Config{Label: cfg.Fleet.Peers.Label, Self: cfg.Name, Via: cfg.Fleet.Peers.Via}); err != nil {
+			return nil, err
+		}
+	}
+	c.learner = learn.New(lc)
+	c.describe()
+	return c, nil
+}
+
+// ruleSettings is what the settings have, of what rule sets may speak of. The zones are those of the
+// fleet file's regions, and the node's own.
+func ruleSettings(cfg Config) rules.Settings {
+	s := &cfg.Settings
+	out := rules.Settings{Zones: []string{s.Zone}, Attempts: s.SendCap, InFlight: s.OpenCap}
+	for _, zones := range cfg.Fleet.Regions {
+		out.Zones = append(out.Zones, zones...)
+	}
+	slices.Sort(out.Zones)
+	out.Zones = slices.Compact(out.Zones)
+	for _, p := range s.Plans {
+		out.Plans = append(out.Plans, p.Name)
+	}
+	for _, k := range s.Classes {
+		out.Classes = append(out.Classes, k.Name)
+	}
+	return out
+}
+
+// run takes part until ctx ends. A disk that stands still is left to itself then.
+func (c *council) run(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() { // ends with its two parts, or with the process
+		defer close(ended)
+		learnt := make(chan struct{})
+		go func() { c.learner.Run(ctx); close(learnt) }()
+		if c.voter != nil {
+			c.voter.Run(ctx)
+		}
+		<-learnt
+		if c.link != nil {
+			c.link.Close()
+		}
+	}()
+	<-ctx.Done()
+	select {
+	case <-ended:
+	case <-time.After(councilEnd):
+		slog.Warn("council: not ended, the disk or a voter stands still")
+	}
+}
+
+// start has it talk, once the membership has begun.
+func (c *council) start(p *peer.Peers) {
+	c.peers.Store(p)
+	c.members()
+}
+
+// members tells who is live.
+func (c *council) members() {
+	p := c.peers.Load()
+	if p == nil {
+		return
+	}
+	var out []learn.Member
+	live, _ := p.Live()
+	for _, m := range live {
+		if m.Kinds {
+			out = append(out, learn.Member{Index: m.Index, Name: m.Name, Zone: m.Zone})
+		}
+	}
+	c.learner.Members(out)
+}
+
+func (c *council) send(to int, raw []byte) error {
+	if p := c.peers.Load(); p != nil {
+		return p.Send(to, raw)
+	}
+	return &peer.MemberError{Index: to}
+}
+
+// act has the loop look by which version requests go, also where none begins.
+func (c *council) act() { c.loop.post(func() { c.look() }) }
+
+// look gives the version that a request goes by which begins now, and tells the module of another one.
+// It is the loop's.
+func (c *council) look() uint64 {
+	a := c.learner.Acting()
+	if a.Number != c.ruled {
+		c.ruled = a.Number
+		e := control.Rules{Version: a.Number}
+		if r := a.Rules; r != nil {
+			e.Price, e.Quota, e.Customers, e.Attempts = r.Price, r.Quota, r.Customers, r.Attempts
+			e.InFlight, e.Closed, e.Cost = r.InFlight, r.Closed, r.Cost
+		}
+		c.loop.handle(e)
+	}
+	return a.Number
+}
+
+// header tells by which version an attempt goes, where the fleet file says so.
+func (c *council) header(x *exchange) {
+	if c.cfg.Header != "" {
+		x.forward.Header.Set(c.cfg.Header, strconv.FormatUint(x.version, 10))
+	}
+}
+
+// describe names the figures for the operators.
+func (c *council) describe() {
+	figures := c.loop.registry()
+	gauge := func(name, help string, of func() float64) {
+		figures.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, of))
+	}
+	n := &c.learner.Counts
+	for name, of := range map[string]*atomic.Int64{
+		"node_rules_sent_total": &n.Sent, "node_rules_unsent_total": &n.Unsent, "node_rules_spoilt_total": &n.Spoilt,
+		"node_rules_dropped_total": &n.Dropped, "node_rules_fetched_total": &n.Fetched, "node_rules_fetched_bytes_total": &n.FetchedBytes,
+		"node_rules_served_total": &n.Served, "node_rules_refused_total": &n.Refused, "node_rules_marks_total": &n.Marks,
+		"node_rules_activations_total": &n.Activations, "node_rules_gaps_total": &n.Gaps,
+	} {
+		figures.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: "See docs/oncall.md."},
+			func() float64 { return float64(of.Load()) }))
+	}
+	gauge("node_rules_version", "Version that requests go by; 0 is the settings alone.", func() float64 { return float64(c.learner.Acting().Number) })
+	gauge("node_rules_known_version", "Version in force, as this node has heard.", func() float64 { return float64(c.learner.Word().Now.Number) })
+	gauge("node_rules_lease_seconds", "What is left of the lease on it; 0 is none.", func() float64 {
+		if a := c.learner.Acting(); a.Number != 0 {
+			return (a.Until - learn.Clock()).Seconds()
+		}
+		return 0
+	})
+	if c.voter == nil {
+		return
+	}
+	status := func(of func(s agreement.Status) float64) func() float64 {
+		return func() float64 { return of(c.voter.Status()) }
+	}
+	gauge("node_council_term", "Term of the agreement.", status(func(s agreement.Status) float64 { return float64(s.Term) }))
+	gauge("node_council_commit", "Records agreed.", status(func(s agreement.Status) float64 { return float64(s.Commit) }))
+	gauge("node_council_leading", "1 where this voter leads.", status(func(s agreement.Status) float64 { return one(s.Leader == c.name) }))
+	gauge("node_council_leader_known", "1 where it knows who leads.", status(func(s agreement.Status) float64 { return one(s.Leader != "") }))
+	gauge("node_council_voting", "1 where it votes.", status(func(s agreement.Status) float64 { return one(s.Phase == agreement.PhaseVoting) }))
+	gauge("node_council_renewed", "Times that it began with another identity in this process.", status(func(s agreement.Status) float64 { return float64(s.Renewed) }))
+	gauge("node_council_strangers", "Streams closed for want of a head of this fleet.", status(func(s agreement.Status) float64 { return float64(s.Refused) }))
+}
+
+func one(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/node/councilcalls.go
@@ -0,0 +1,338 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"martennotch/fleet/rules"
+	agreement "martennotch/internal/council"
+	"martennotch/internal/council/learn"
+	"martennotch/internal/oneline"
+)
+
+const (
+	callOffice    = 'o' // calls of operators, from node to voter
+	officeWithin  = 1500 * time.Millisecond
+	versionsShown = 32
+)
+
+// order is an operators' call on its way to the leader.
+type order struct {
+	Op     string `cbor:"1,keyasint"`
+	By     string `cbor:"2,keyasint,omitempty"`
+	Number uint64 `cbor:"3,keyasint,omitempty"`
+	Kind   uint8  `cbor:"4,keyasint,omitempty"`
+	At     uint64 `cbor:"5,keyasint,omitempty"`
+	Parent int64  `cbor:"6,keyasint,omitempty"` // -1 is the newest
+	Text   []byte `cbor:"7,keyasint,omitempty"`
+}
+
+// reply is what the leader answers, or who leads.
+type reply struct {
+	Status int    `cbor:"1,keyasint"`
+	Body   []byte `cbor:"2,keyasint,omitempty"`
+	Leader string `cbor:"3,keyasint,omitempty"` // to be asked instead
+}
+
+// routes are the operators' calls.
+func (c *council) routes(calls map[string]map[string]http.HandlerFunc) {
+	post := func(path string, read func(r *http.Request, o *order) error) {
+		calls["/council/"+path] = map[string]http.HandlerFunc{http.MethodPost: func(w http.ResponseWriter, r *http.Request) {
+			o := order{Op: path, By: r.FormValue("by"), Parent: -1}
+			if err := read(r, &o); err != nil {
+				refuse(w, err)
+				return
+			}
+			c.give(w, r.Context(), o)
+		}}
+	}
+	post("publish", func(r *http.Request, o *order) error {
+		if p := r.URL.Query().Get("parent"); p != "" {
+			n, err := strconv.ParseUint(p, 10, 62)
+			if err != nil {
+				return &CouncilCallError{"publish", "parent", p, "a version's number"}
+			}
+			o.Parent = int64(n)
+		}
+		var err error
+		if o.Text, err = io.ReadAll(io.LimitReader(r.Body, rules.TextMost+1)); err != nil {
+			return &CouncilCallError{"publish", "body", err.Error(), "the rule set's text"}
+		}
+		set, err := rules.Parse(o.Text)
+		if err == nil {
+			err = set.Check(c.settings)
+		}
+		return err
+	})
+	post("activate", func(r *http.Request, o *order) (err error) {
+		if err = number(r, "activate", "number", &o.Number); err != nil {
+			return err
+		}
+		if at := r.FormValue("at"); at != "" {
+			t, err := time.Parse(time.RFC3339, at)
+			if err != nil {
+				return &CouncilCallError{"activate", "at", at, "a time as 2026-01-02T15:04:05Z"}
+			}
+			o.At = uint64(max(0, t.UnixMilli()))
+		}
+		return kind(r, "activate", o)
+	})
+	post("back", func(r *http.Request, o *order) error {
+		if err := number(r, "back", "to", &o.Number); err != nil {
+			return err
+		}
+		return kind(r, "back", o)
+	})
+	post("cancel", func(r *http.Request, o *order) error { return number(r, "cancel", "number", &o.Number) })
+	calls["/council/status"] = map[string]http.HandlerFunc{http.MethodGet: func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(c.status(r.Context()))
+	}}
+	if c.voter != nil {
+		calls["/council/trust"] = map[string]http.HandlerFunc{http.MethodPost: func(w http.ResponseWriter, _ *http.Request) {
+			slog.Warn("council: an operator trusts this voter's disk", "node", c.name)
+			c.voter.Trust()
+			fmt.Fprintln(w, "trusted")
+		}}
+	}
+}
+
+func number(r *http.Request, call, key string, to *uint64) error {
+	n, err := strconv.ParseUint(r.FormValue(key), 10, 62)
+	if err != nil || n == 0 {
+		return &CouncilCallError{call, key, r.FormValue(key), "a version's number"}
+	}
+	*to = n
+	return nil
+}
+
+func kind(r *http.Request, call string, o *order) error {
+	for _, k := range []rules.Kind{rules.Overlap, rules.Exclusive} {
+		if r.FormValue("kind") == k.String() {
+			o.Kind = uint8(k)
+			return nil
+		}
+	}
+	return &CouncilCallError{call, "kind", r.FormValue("kind"), "overlap or exclusive"}
+}
+
+// CouncilCallError is a call of the council's whose parts can't be used.
+type CouncilCallError struct{ Call, Key, Have, Want string }
+
+func (e *CouncilCallError) Error() string {
+	return fmt.Sprintf("console: council/%s: %s: not by %q; give %s", e.Call, e.Key, e.Have, e.Want)
+}
+
+// give has the leader carry an order out, and answers with what it says.
+func (c *council) give(w http.ResponseWriter, ctx context.Context, o order) {
+	a, err := c.office(ctx, o)
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), officeStatus(err))
+		slog.Info("console: refused", "call", o.Op, "err", err)
+		return
+	}
+	slog.Info("council: an order", "call", o.Op, "by", o.By, "number", o.Number, "status", a.Status)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(a.Status)
+	w.Write(a.Body)
+}
+
+// office brings an order to the leader, once: one that may have come there is not sent again.
+func (c *council) office(ctx context.Context, o order) (*reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, officeWithin)
+	defer cancel()
+	leader, err := c.locate(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if leader.Name == c.name {
+		return c.carryOut(o), nil
+	}
+	a, err := c.ask(ctx, leader, o)
+	if err != nil {
+		return nil, &agreement.UnknownError{Why: err}
+	}
+	return a, nil
+}
+
+// locate finds the voter that leads and is confirmed in it: this node, or one that others name.
+func (c *council) locate(ctx context.Context) (leader agreement.Peer, err error) {
+	var last error = &agreement.NoMajorityError{Phase: "none of the voters is reached"}
+	tried, next := map[string]bool{}, c.name
+	for range len(c.cfg.Voters) + 1 {
+		var at *VoterConfig
+		for i, v := range c.cfg.Voters {
+			if !tried[v.Name] && (v.Name == next || at == nil) {
+				at = &c.cfg.Voters[i]
+			}
+		}
+		if at == nil {
+			break
+		}
+		tried[at.Name] = true
+		var a *reply
+		p := agreement.Peer{Name: at.Name, Address: at.Address}
+		if at.Name == c.name {
+			a = c.carryOut(order{Op: "leader"})
+		} else if a, err = c.ask(ctx, p, order{Op: "leader"}); err != nil {
+			last = err
+			continue
+		}
+		if a.Status == http.StatusOK {
+			return p, nil
+		}
+		next, last = a.Leader, errors.New(strings.TrimSpace(string(a.Body)))
+	}
+	if e, ok := errors.AsType[*agreement.NoMajorityError](last); ok {
+		return leader, e
+	}
+	return leader, &agreement.NoMajorityError{Phase: oneline.Of(last)}
+}
+
+// ask has a voter carry an order out.
+func (c *council) ask(ctx context.Context, p agreement.Peer, o order) (*reply, error) {
+	body, err := cbor.Marshal(o)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := c.call(ctx, p, body)
+	if err != nil {
+		return nil, err
+	}
+	a := &reply{}
+	return a, cbor.Unmarshal(raw, a)
+}
+
+func (c *council) call(ctx context.Context, p agreement.Peer, body []byte) ([]byte, error) {
+	if c.voter != nil {
+		return c.voter.Call(ctx, p, callOffice, body)
+	}
+	return c.link.Call(ctx, p.Name, p.Address, append([]byte{callOffice}, body...))
+}
+
+// answer answers another node's order.
+func (c *council) answer(from string, body []byte) []byte {
+	var o order
+	if err := cbor.Unmarshal(body, &o); err != nil {
+		return nil
+	}
+	raw, err := cbor.Marshal(c.carryOut(o))
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// carryOut does an order where this voter leads, or says who does.
+func (c *council) carryOut(o order) *reply {
+	if o.Op == "status" || o.Op == "leader" {
+		if err := c.voter.Verify(); err != nil {
+			return refusal(err)
+		}
+		if o.Op == "leader" {
+			return &reply{Status: http.StatusOK}
+		}
+		raw, err := json.Marshal(c.agreed())
+		if err != nil {
+			return refusal(err)
+		}
+		return &reply{Status: http.StatusOK, Body: raw}
+	}
+	cmd, err := c.command(o)
+	if err != nil {
+		return refusal(err)
+	}
+	raw, err := cmd.Encode()
+	if err != nil {
+		return refusal(err)
+	}
+	done, err := c.voter.Propose(learn.Machine, raw, officeWithin)
+	if err != nil {
+		return refusal(err)
+	}
+	out, ok := done.(learn.Outcome)
+	if !ok {
+		return refusal(fmt.Errorf("council: the registry answered %T", done))
+	}
+	if out.Err != nil {
+		return refusal(out.Err)
+	}
+	body, err := json.Marshal(map[string]any{"number": out.Result.Number, "call": o.Op})
+	if err != nil {
+		return refusal(err)
+	}
+	return &reply{Status: http.StatusOK, Body: append(body, '\n')}
+}
+
+// command is what is to be agreed on. A text is checked by the leader's settings too.
+func (c *council) command(o order) (cmd rules.Command, err error) {
+	newest := func() uint64 {
+		if o.Parent >= 0 {
+			return uint64(o.Parent)
+		}
+		return c.registry.Newest()
+	}
+	switch o.Op {
+	case "publish":
+		set, err := rules.Parse(o.Text)
+		if err == nil {
+			err = set.Check(c.settings)
+		}
+		if err != nil {
+			return cmd, err
+		}
+		cmd.Publish = &rules.Publish{Parent: newest(), By: o.By, Text: o.Text}
+	case "activate":
+		cmd.Activate = &rules.Activate{Number: o.Number, Kind: rules.Kind(o.Kind), At: o.At, By: o.By}
+	case "back":
+		cmd.Back = &rules.Back{Parent: newest(), Of: o.Number, Kind: rules.Kind(o.Kind), By: o.By}
+	case "cancel":
+		cmd.Cancel = &rules.Cancel{Number: o.Number, By: o.By}
+	default:
+		return cmd, &CouncilCallError{o.Op, "call", o.Op, "publish, activate, back, cancel or status"}
+	}
+	return cmd, nil
+}
+
+func refusal(err error) *reply {
+	a := &reply{Status: officeStatus(err), Body: []byte(err.Error() + "\n")}
+	if e, ok := errors.AsType[*agreement.NotLeaderError](err); ok {
+		a.Leader = e.Leader.Name
+	}
+	return a
+}
+
+// officeStatus is that of an error's answer.
+func officeStatus(err error) int {
+	var (
+		stale, order, phase = new(rules.StaleVersionError), new(rules.OrderError), new(rules.PhaseError)
+		none                = new(rules.NoVersionError)
+		large               = new(rules.TooLargeError)
+		down, elsewhere     = new(agreement.NoMajorityError), new(agreement.NotLeaderError)
+		unknown             = new(agreement.UnknownError)
+	)
+	switch {
+	case errors.As(err, &stale), errors.As(err, &order), errors.As(err, &phase):
+		return http.StatusConflict
+	case errors.As(err, &none):
+		return http.StatusNotFound
+	case errors.As(err, &large):
+		return http.StatusRequestEntityTooLarge
+	case errors.As(err, &down), errors.As(err, &elsewhere):
+		return http.StatusServiceUnavailable
+	case errors.As(err, &unknown):
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadRequest
+}
--- a/internal/node/errors_test.go
+++ b/internal/node/errors_test.go
@@ -12,6 +12,7 @@
 		&BusyError{Call: "zones", Within: time.Second},
 		&CallError{Method: "PUT", Path: "/drain", Allowed: []string{"POST"}},
 		&ConfigError{File: "config.json", Key: "seed", Err: oncall.Cause},
+		&CouncilCallError{Call: "activate", Key: "kind", Have: "soon", Want: "overlap or exclusive"},
 		&EndingError{Node: "n-1"},
 		&EnvironmentError{Variable: "NODE_CONSOLE", Err: oncall.Cause},
 		&FleetFileError{File: "fleet.toml", Line: 3, Key: "peers.port", Err: oncall.Cause},
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -25,6 +25,7 @@
 	Regions map[string][]string // the zones of each
 	State   *StateConfig
 	Zones   *ZonesConfig
+	Council *CouncilConfig
 }
 
 // PeersConfig switches on that this node and others talk.
@@ -79,6 +80,11 @@
 	if f.Zones != nil && f.Zones.Leave && len(f.Regions) == 0 {
 		return "zones.leave", errors.New("regions name no zones")
 	}
+	if f.Council != nil {
+		if key, err := f.Council.check(f); err != nil {
+			return key, err
+		}
+	}
 	p := f.Peers
 	if p == nil {
 		return "", nil
@@ -127,15 +133,21 @@
 
 // peering gives what lets the node talk with others, where the fleet file has it and the settings
 // allow it; nil is nothing.
-func peering(cfg Config, l *loop) func() (*peer.Peers, error) {
+func peering(cfg Config, l *loop) (func() (*peer.Peers, error), error) {
 	if cfg.Fleet == nil || cfg.Fleet.Peers == nil {
-		return nil
+		return nil, nil
 	}
 	if !cfg.Settings.PeerMessages {
 		slog.Warn("peers stay off: the settings refuse them")
-		return nil
+		return nil, nil
 	}
 	f, s := cfg.Fleet.Peers, &cfg.Settings
+	if cfg.Fleet.Council != nil {
+		var err error
+		if l.council, err = newCouncil(cfg, l); err != nil {
+			return nil, err
+		}
+	}
 	if f.Limits || f.Verdicts {
 		l.sharing = newSharing(s, *f, l)
 		if f.Verdicts {
@@ -150,16 +162,32 @@
 		}
 		pc := peer.Config{Label: f.Label, Name: cfg.Name, Index: s.SelfIndex, Zone: s.Zone, Region: cfg.Fleet.region(s.Zone),
 			Program: program(), Bind: net.JoinHostPort(host, strconv.Itoa(f.Port)), Seeds: f.Seeds, Via: f.Via, Seed: cfg.Seed}
-		if l.sharing == nil {
-			return peer.Start(pc, slog.Default())
+		var changed []func()
+		if l.sharing != nil {
+			pc.Receive, changed = l.sharing.receive, append(changed, l.sharing.changed)
+		}
+		if l.council != nil {
+			pc.Kinds, changed = l.council.learner.Receive, append(changed, l.council.members)
+		}
+		if changed != nil {
+			pc.Changed = func() {
+				for _, tell := range changed {
+					tell()
+				}
+			}
 		}
-		pc.Receive, pc.Changed = l.sharing.receive, l.sharing.changed
 		p, err := peer.Start(pc, slog.Default())
-		if err == nil {
+		if err != nil {
+			return nil, err
+		}
+		if l.sharing != nil {
 			l.sharing.start(p)
 		}
-		return p, err
-	}
+		if l.council != nil {
+			l.council.start(p)
+		}
+		return p, nil
+	}, nil
 }
 
 // program names the version of this program: the commit that it was built from, where known.
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -50,7 +50,8 @@
 		t.Fatal(err)
 	}
 	cfg.Fleet = &Fleet{Peers: &PeersConfig{Label: "x", Port: 1}}
-	if peering(cfg, nil) != nil {
-		t.Error("peers against the settings")
+	on, err := peering(cfg, nil)
+	if on != nil || err != nil {
+		t.Error("peers against the settings", err)
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -43,6 +43,7 @@
 	keeping   *keeping  // nil is that nothing outlives the process
 
 	figures *prometheus.Registry // of what a fleet file switches on; nil is nothing
+	council *council             // nil is that nothing is decided together
 }
 
 func newLoop(cfg Config, up *upstream, counts *stats) (*loop, error) {
@@ -161,6 +162,10 @@
 		return
 	}
 	l.exchanges[x.req.ID] = x
+	if l.council != nil {
+		x.version = l.council.look()
+		l.council.header(x)
+	}
 	if x.req.TTL = x.left; !x.deadline.IsZero() {
 		x.req.TTL = time.Until(x.deadline)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,7 @@
 	if cfg.Fleet != nil && cfg.Fleet.Peers != nil {
 		apart += peerPlaces
 	}
+	apart += cfg.Fleet.councilPlaces(cfg.Name)
 	socks := newSockets(cfg.Sockets, apart)
 	counts := newStats(cfg.Settings.Classes)
 	memory := cfg.MemoryMB
@@ -87,6 +88,11 @@
 	if cfg.Fleet != nil && cfg.Fleet.State != nil {
 		l.keeping = newKeeping(cfg, l, func() string { return n.discovery.address() })
 	}
+	if n.peering, err = peering(cfg, l); err != nil {
+		cancel()
+		tcp.Close()
+		return nil, err
+	}
 	if cfg.Console != "" {
 		if n.console, err = newConsole(cfg.Console, n); err != nil {
 			cancel()
@@ -94,7 +100,7 @@
 			return nil, err
 		}
 	}
-	if n.peering = peering(cfg, l); n.peering != nil {
+	if n.peering != nil {
 		p, err := n.peering()
 		// A process whose place this one takes has the address until it ends.
 		if err != nil && !(inherited && errors.Is(err, syscall.EADDRINUSE)) {
@@ -192,6 +198,9 @@
 	parts.Go(func() { served <- srv.Serve(n.listener) })
 	slog.Info("serving", "listen", n.Addr())
 
+	if c := n.loop.council; c != nil {
+		parts.Go(func() { c.run(life) })
+	}
 	if n.peering != nil {
 		// The others hear of a planned end at its beginning, and of a failure as of a death.
 		parts.Go(func() { n.part(ctx, life) })
--- a/internal/node/sharing_test.go
+++ b/internal/node/sharing_test.go
@@ -125,7 +125,11 @@
 	}
 	cfg.Settings.PeerMessages = true
 	cfg.Fleet = &Fleet{Peers: &PeersConfig{Label: "x", Port: before.Addr().(*net.TCPAddr).Port}}
-	n := &Node{peering: peering(cfg, &loop{})}
+	join, err := peering(cfg, &loop{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{peering: join}
 	if _, err := n.peering(); !errors.Is(err, syscall.EADDRINUSE) {
 		t.Fatalf("while the address is taken: %v", err)
 	}
--- a/internal/peer/member.go
+++ b/internal/peer/member.go
@@ -15,6 +15,7 @@
 	Zone, Region  string
 	Program       string
 	State         int    // version of what it tells
+	Kinds         bool   // it takes messages by kind
 	Incarnation   uint64 // of its process: ms of Unix time at its start
 }
 
@@ -27,6 +28,7 @@
 	Incarnation uint64 `cbor:"5,keyasint"`
 	Leaving     bool   `cbor:"6,keyasint,omitempty"`
 	Index       int    `cbor:"7,keyasint"`
+	Kinds       bool   `cbor:"8,keyasint,omitempty"`
 }
 
 // member reads what a node says of itself; what can't be read is counted and left empty.
@@ -39,7 +41,7 @@
 		return m, false
 	}
 	m.Zone, m.Region, m.Program, m.State, m.Incarnation = said.Zone, said.Region, said.Program, said.State, said.Incarnation
-	m.Index = said.Index
+	m.Index, m.Kinds = said.Index, said.Kinds
 	return m, said.Leaving
 }
 
@@ -58,7 +60,12 @@
 
 // NotifyMsg takes a message of another member; the bytes are the library's after it.
 func (p *Peers) NotifyMsg(raw []byte) {
-	if p.cfg.Receive != nil {
+	switch {
+	case len(raw) > 0 && raw[0] < KindsEnd:
+		if p.cfg.Kinds != nil {
+			p.cfg.Kinds(raw)
+		}
+	case p.cfg.Receive != nil:
 		p.cfg.Receive(raw)
 	}
 }
@@ -102,7 +109,7 @@
 	}
 	p.mu.Lock()
 	p.live[n.Name] = m
-	if to := *n; m.State >= StateVersion {
+	if to := *n; m.State >= StateVersion || m.Kinds {
 		p.nodes[m.Index] = &to
 	}
 	p.epoch++
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,7 +25,10 @@
 	// that they are there; one that is newer may tell more, which is skipped.
 	StateVersion = 2
 
-	aloneVersion = 1 // of one that takes nothing
+	aloneVersion = 1 // of one that takes nothing but kinds
+
+	// KindsEnd ends the first bytes that name a kind of message. Those without begin with a CBOR map's.
+	KindsEnd = 0x20
 
 	membersMost  = 1024                   // remembered; beyond it new ones are refused
 	joinFirst    = 375 * time.Millisecond // between two tries to join while alone; it doubles
@@ -49,6 +52,7 @@
 	Via          map[string]string // addresses to be reached by others, where links stand between
 	Seed         uint64            // of the choice of seeds
 	Receive      func(raw []byte)  // takes what another sends, and does not wait; nil is nothing taken
+	Kinds        func(raw []byte)  // takes those whose first byte is below KindsEnd, as Receive does
 	Changed      func()            // is told that Live has changed, and does not wait; nil is nobody
 }
 
@@ -95,7 +99,7 @@
 	if cfg.Receive == nil {
 		state = aloneVersion
 	}
-	p.said = meta{cfg.Zone, cfg.Region, cfg.Program, state, uint64(time.Now().UnixMilli()), true, cfg.Index}
+	p.said = meta{cfg.Zone, cfg.Region, cfg.Program, state, uint64(time.Now().UnixMilli()), true, cfg.Index, cfg.Kinds != nil}
 	if n := len(p.NodeMeta(memberlist.MetaMaxSize)); n == 0 {
 		return nil, &ConfigError{"zone, region and program", errors.New("their names are too long together")}
 	}
