Give cold servers the room that the renewed formula leaves; sum a group against it

The standing test's formula, N + 3 x root of N + 3, leaves its room for chance above N; the parts kept 4.5 roots below N, which cost a third of a cold server's first quarter of warming. A group may now send half of N by the fleet's idle time, whatever N is.

--- a/control/cold.go
+++ b/control/cold.go
@@ -61,11 +61,7 @@
 		if bears = (1 - theirs) * max(bears, each); s.home {
 			bears += theirs * each / homes
 		}
-		// Guards against the chance by which many come at one moment: what all send in a span is
-		// as uneven as its root.
-		span := math.Sqrt(c.set.FallMultiple * w * does * c.set.Fall.Seconds())
-		even := math.Sqrt(span*span+chanceSpan*chanceSpan/4) - chanceSpan/2
-		rate = bears * min(coldSafety, even*even/max(span*span, tiny))
+		rate = coldSafety * bears
 	}
 	s.tokens += rate * (c.now - s.tokensAt).Seconds()
 	if s.tokensAt = c.now; c.herd() {
--- a/control/figures.go
+++ b/control/figures.go
@@ -90,7 +90,6 @@
 	shutFor      = 15 * time.Second // how long a server that refused a plan is not tried for it
 	asideMost    = 8 * time.Second
 	coldSafety   = 0.5   // part of a cold server's budget that is used
-	chanceSpan   = 4.5   // deviations by which what a herd sends in a span may pass its mean
 	rateFirst    = 10.0  // answers a second that a gateway just started takes itself to get
 	coldSurge    = 1.5   // times its part of that at which a gateway of a herd turns to one, at most
 	retryEarn    = 0.1   // further attempts earned by each request
