--- a/fleet/turns/forecast.go
+++ b/fleet/turns/forecast.go
@@ -26,11 +26,11 @@
 }
 
 func (e *LateError) Error() string {
-	when := "it can't be let out: " + e.Why
+	when := "it never goes"
 	if e.Expected > 0 {
-		when = fmt.Sprintf("it is expected back at %v", e.Expected)
+		when = fmt.Sprintf("it is back at %v", e.Expected)
 	}
-	return fmt.Sprintf("turns: host %s: its deadline %v can't be met: %s; widen the plan's bounds, or move the deadline", e.Host, e.Deadline, when)
+	return fmt.Sprintf("turns: host %s: its deadline %v can't be met: as things stand %s (%s); widen the plan's bounds, or move the deadline", e.Host, e.Deadline, when, e.Why)
 }
 
 // back is a machine's expected return in a forecast.
@@ -176,7 +176,7 @@
 		return
 	}
 	if f.Done = max(f.Done, e.at); due > 0 && e.at > due {
-		f.Late = append(f.Late, &LateError{Host: host, Deadline: due, Expected: e.at})
+		f.Late = append(f.Late, &LateError{Host: host, Deadline: due, Expected: e.at, Why: "others go first"})
 	}
 }
 
