--- a/fleet/turns/forecast.go
+++ b/fleet/turns/forecast.go
@@ -120,7 +120,7 @@
 			queue = append(queue, s.rank(host, w))
 		}
 	}
-	slices.SortFunc(queue, rank.compare)
+	s.order(queue)
 	at := s.wall
 	for {
 		queue = s.start(f, &y, &ends, queue, at)
@@ -135,7 +135,7 @@
 			y.away(e.m, s.members(e.m.Host), -1)
 			if e.again != nil {
 				queue = append(queue, *e.again)
-				slices.SortFunc(queue, rank.compare)
+				s.order(queue)
 			}
 		}
 	}
--- a/fleet/turns/order.go
+++ b/fleet/turns/order.go
@@ -11,6 +11,9 @@
 // machine with less worth at risk goes first.
 const grain = int64(time.Minute / time.Millisecond)
 
+// gather is how long a new plan waits for its hosts to ask: the first to ask are not the most urgent.
+const gather = 10 * time.Second
+
 // need is what a turn takes as expected, from its grant to its return.
 func (s *State) need(length Span) Span { return s.plan.plan.Drain + length + s.plan.plan.Warm }
 
@@ -26,10 +29,7 @@
 }
 
 func (s *State) rank(host string, w work) rank {
-	r := rank{host: host, start: math.MaxInt64, length: w.length, due: w.deadline}
-	if w.deadline > 0 {
-		r.start = (int64(w.deadline) - s.need(w.length).millis()) / grain
-	}
+	r := rank{host: host, length: w.length, due: w.deadline}
 	if r.m = s.fleet[host]; r.m != nil {
 		r.load = r.m.Load
 	}
@@ -40,6 +40,31 @@
 	return cmp.Or(cmp.Compare(r.start, q.start), cmp.Compare(r.load, q.load), cmp.Compare(r.host, q.host))
 }
 
+// order puts hosts in their order.
+func (s *State) order(queue []rank) {
+	for i := range queue {
+		q := &queue[i]
+		q.start = (s.due(q) - s.need(q.length).millis()) / grain
+	}
+	slices.SortFunc(queue, rank.compare)
+}
+
+// due is when a host's turn has to have ended: by its deadline, or before the next window of its zone
+// if it still can, as it would wait for that window's end.
+func (s *State) due(q *rank) int64 {
+	due := int64(q.due)
+	if due == 0 {
+		due = math.MaxInt64 / 2
+	}
+	for _, u := range s.uplinks {
+		before := int64(u.From) - s.plan.plan.Bounds.Uplink.millis()
+		if q.m != nil && u.Zone == q.m.Zone && int64(s.wall)+s.need(q.length).millis() <= before {
+			due = min(due, before)
+		}
+	}
+	return due
+}
+
 // queue lists those that ask, in order.
 func (s *State) queue() (queue []rank) {
 	for _, t := range s.turns {
@@ -50,14 +75,14 @@
 			queue = append(queue, s.rank(t.Host, w))
 		}
 	}
-	slices.SortFunc(queue, rank.compare)
+	s.order(queue)
 	return queue
 }
 
 // give grants turns, in order, to all that the bounds let out. Only a look gives any: the evidence is
 // then as new as it can be.
 func (s *State) give(r *Result) {
-	if s.plan == nil || s.halted() || s.blind || s.now-s.seen > evidenceMost {
+	if s.plan == nil || s.Halted() || s.blind || s.now-s.seen > evidenceMost || s.now < s.loaded+gather {
 		return
 	}
 	full := map[place]bool{} // zones that let nobody more out
--- a/fleet/turns/snapshot.go
+++ b/fleet/turns/snapshot.go
@@ -25,6 +25,7 @@
 	Fleet   []machineSnapshot `cbor:"13,keyasint,omitempty"`
 	Turns   []Turn            `cbor:"14,keyasint,omitempty"`
 	Done    [][2]string       `cbor:"15,keyasint,omitempty"` // host, job
+	Loaded  time.Duration     `cbor:"17,keyasint"`
 	Names   [][2]string       `cbor:"16,keyasint,omitempty"` // name, host
 }
 
@@ -45,7 +46,7 @@
 // Snapshot gives the state's bytes.
 func (s *State) Snapshot() ([]byte, error) {
 	h := s.halt
-	p := snapshot{Now: s.now, Wall: s.wall, Fence: s.fence, Version: s.version, Looks: s.looks, Seen: s.seen, Blind: s.blind,
+	p := snapshot{Now: s.now, Wall: s.wall, Fence: s.fence, Version: s.version, Loaded: s.loaded, Looks: s.looks, Seen: s.seen, Blind: s.blind,
 		Group: len(s.yard.ring), Uplinks: s.uplinks, Done: pairs(s.done), Names: pairs(s.names),
 		Halt: haltSnapshot{Hand: h.hand, Trouble: h.trouble, Calm: h.calm, Quiet: h.quiet, Usual: h.usual, Served: h.served}}
 	if s.plan != nil {
@@ -87,6 +88,7 @@
 	s := New()
 	h := p.Halt
 	s.now, s.wall, s.fence, s.version, s.looks, s.seen, s.blind, s.uplinks = p.Now, p.Wall, p.Fence, p.Version, p.Looks, p.Seen, p.Blind, p.Uplinks
+	s.loaded = p.Loaded
 	s.halt = halt{hand: h.Hand, trouble: h.Trouble, calm: h.Calm, quiet: h.Quiet, usual: h.Usual, served: h.Served}
 	if err := p.check(); err != nil {
 		return nil, err
--- a/fleet/turns/trouble.go
+++ b/fleet/turns/trouble.go
@@ -22,13 +22,13 @@
 	served  int64         // of the last look that knew
 }
 
-// halted tells whether nothing new goes out.
-func (s *State) halted() bool { return s.halt.hand != "" || s.halt.trouble != "" }
+// Halted tells whether nothing new goes out.
+func (s *State) Halted() bool { return s.halt.hand != "" || s.halt.trouble != "" }
 
 // haltAll lets nothing new out. What was granted is void, what drains comes back, and what is out
 // stays until it has returned.
 func (s *State) haltAll(reason *string, why string, r *Result) {
-	if r.Changed = r.Changed || !s.halted(); *reason == "" {
+	if r.Changed = r.Changed || !s.Halted(); *reason == "" {
 		*reason = why
 	}
 	for _, t := range s.held() {
@@ -42,7 +42,7 @@
 // resume goes on by hand. What is served now is usual from now on; trouble that is still there halts
 // all again at the next look.
 func (s *State) resume(r *Result) {
-	r.Changed = s.halted()
+	r.Changed = s.Halted()
 	s.halt.hand, s.halt.trouble, s.halt.quiet = "", "", false
 	s.halt.usual = s.halt.served
 }
--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -62,7 +62,8 @@
 	wall    Moment
 	fence   uint64 // given last
 	version uint64
-	plan    *compiled // nil is none
+	plan    *compiled     // nil is none
+	loaded  time.Duration // when it was put in force
 	looks   uint64
 	seen    time.Duration // as of when all evidence stands
 	blind   bool          // the last look told not all
@@ -242,7 +243,7 @@
 			return
 		}
 	}
-	s.version, s.plan, r.Changed = l.Version, c, true
+	s.version, s.plan, s.loaded, r.Changed = l.Version, c, s.now, true
 	maps.DeleteFunc(s.done, func(host, job string) bool { return c == nil || c.work[host].job != job })
 	for _, t := range s.turns {
 		w, wanted := s.wanted(t.Host)
--- a/fleet/turns/words.go
+++ b/fleet/turns/words.go
@@ -165,7 +165,7 @@
 func (s *State) stillFree(t *Turn) error {
 	m := s.fleet[t.Host]
 	switch {
-	case s.halted():
+	case s.Halted():
 		return &HaltedError{Why: s.haltWhy()}
 	case s.plan == nil || m == nil:
 		return &UnknownHostError{Host: t.Host}
