--- a/fleet/rules/explore_test.go
+++ b/fleet/rules/explore_test.go
@@ -161,3 +161,26 @@
 		}
 	})
 }
+
+// An ask that comes again while the first is being confirmed does not set that back: over links whose
+// round is longer than the time to try again nobody would ever get a lease.
+func TestAskThatComesAgainSetsNothingBack(t *testing.T) {
+	n := NewNode(Config{Self: 0, Life: 1, Terms: Usual}, 0)
+	n.Learn(0, Word{Step: 2, Now: Name{Number: 1}})
+	n.Lead(0)
+	ask := func(at time.Duration, seq uint32) {
+		n.Hear(at, &Message{From: 1, Life: 2, Ask: &Ask{Seq: seq, Step: 2, Fresh: true}})
+	}
+	ask(time.Millisecond, 1)
+	round, ok := n.Begin()
+	require.True(t, ok)
+	ask(100*time.Millisecond, 2)
+	n.Confirmed(150*time.Millisecond, round)
+	for _, o := range n.Flush(150 * time.Millisecond) {
+		if o.To == 1 && o.Message.Grant != nil {
+			assert.EqualValues(t, 1, o.Message.Grant.Seq)
+			return
+		}
+	}
+	t.Fatal("no grant")
+}
--- a/fleet/rules/grantor.go
+++ b/fleet/rules/grantor.go
@@ -99,8 +99,14 @@
 	if !g.leads && !a.Fresh && a.Step <= g.word.Step && rest > 0 {
 		return g.answer(now, p, rest)
 	}
-	g.pending = append(slices.DeleteFunc(g.pending, func(o pending) bool { return o.node == from }), p)
-	return nil
+	i := slices.IndexFunc(g.pending, func(o pending) bool { return o.node == from })
+	switch {
+	case i < 0:
+		g.pending = append(g.pending, p)
+	case g.pending[i].life != life || a.Fresh && !g.pending[i].ask.Fresh || now-g.pending[i].arrived >= g.t.Renew:
+		g.pending[i] = p
+	}
+	return nil // an ask that came again does not set back the one before, whose answer may be under way
 }
 
 // answer grants what is to be had: length at most, by the word.
--- a/fleet/rules/holder.go
+++ b/fleet/rules/holder.go
@@ -69,6 +69,7 @@
 	parent  int           // index of the one that is asked
 	since   time.Duration // it is
 	silent  int           // asks without an answer
+	took    time.Duration // by answers of late, the slow ones for longer
 }
 
 // learn takes a word that is newer than the one here.
@@ -191,6 +192,7 @@
 	}
 	a = h.asks[i]
 	h.asks = slices.Delete(h.asks, i, i+1)
+	h.took = max(now-a.at, h.took*7/8)
 	if h.silent = 0; g.Full {
 		h.silent = tiresBy
 		return sentAsk{}
@@ -251,7 +253,7 @@
 	}
 	fresh = fresh || !h.proved
 	h.asks = append(h.asks, sentAsk{h.seq, now, fresh})
-	h.asked, h.askAt = now, now+min(h.t.Renew, h.t.Retry<<h.silent)
+	h.asked, h.askAt = now, now+min(h.t.Renew, max(h.t.Retry, 2*h.took)<<h.silent)
 	h.silent = min(h.silent+1, tiresBy)
 	return &Ask{Seq: h.seq, Step: h.word.Step, Fresh: fresh}, true
 }
--- a/fleet/rules/world_test.go
+++ b/fleet/rules/world_test.go
@@ -98,10 +98,10 @@
 			proved, led    bool
 			seq            uint32
 			n              [6]uint64
-			at             [5]time.Duration
+			at             [6]time.Duration
 			parent, silent int
 		}{n.h.word, n.h.proved, n.g.leads, n.h.seq, [6]uint64{n.life, n.h.trimmed, n.h.mark, n.g.round, n.g.offered},
-			[5]time.Duration{n.h.askAt, n.h.asked, n.g.unknown, n.g.quiet, n.g.offeredAt}, n.h.parent, n.h.silent})
+			[6]time.Duration{n.h.askAt, n.h.asked, n.g.unknown, n.g.quiet, n.g.offeredAt, n.h.took}, n.h.parent, n.h.silent})
 	}
 	mix(&h, w.air)
 	maphash.WriteComparable(&h, struct {
