Let a disk that stands still or turns a bit hold up no start and cost no state

The start now waits 1 s at most, begins from nothing and keeps its state, with what was marked there, once the disk goes on; a state is read twice before it is put aside; a refusal is logged once, and once when the disk takes a state again. Each test fails without its mend.

--- a/internal/node/keeping.go
+++ b/internal/node/keeping.go
@@ -25,6 +25,7 @@
 	writeAfter = 500 * time.Millisecond // from a grant that needs a mark to the state's writing
 	learntEach = 2 * time.Second        // at most, between two states with what was learnt of servers and shares
 	learntFor  = 10 * time.Minute       // for which that is of worth
+	openWait   = time.Second            // for what is kept, at the start
 	lockAgain  = time.Second            // between two tries for a folder that the process before still has
 	closeWait  = 300 * time.Millisecond // for the last state, at the end
 	learntPart = "learnt"
@@ -93,11 +94,22 @@
 		_, used := errors.AsType[*store.UsedError](err)
 		return !used
 	}
-	kept := k.read(f)
-	if kept != nil && !inherited {
-		k.recall(n, kept)
+	read := make(chan *store.State, 1)
+	go func() { read <- k.read(f) }() // ends with the disk's step
+	select {
+	case kept := <-read:
+		if kept != nil && !inherited {
+			k.recall(n, kept)
+		}
+		k.begin(f, kept)
+	case <-time.After(openWait):
+		slog.Warn("state: the disk stands still; the node starts from nothing and keeps its state when the disk goes on", "dir", k.dir)
+		go func() { // likewise
+			if kept := <-read; !k.loop.post(func() { k.begin(f, kept) }) {
+				f.Close()
+			}
+		}()
 	}
-	k.begin(f, kept)
 	return true
 }
 
--- a/internal/node/keeping_test.go
+++ b/internal/node/keeping_test.go
@@ -10,8 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"martennotch/internal/store"
 	"martennotch/internal/store/disk"
+	"martennotch/internal/store/disk/lying"
 )
 
 // end stops a node and waits for its end.
@@ -118,3 +121,34 @@
 		t.Errorf("the state lacks the mark of the process before: %+v, %v", s, err)
 	}
 }
+
+// A disk that stands still holds up neither the start nor a request; when it goes on, the state is kept, with what was marked there before.
+func TestDiskThatStandsStill(t *testing.T) {
+	dir, drive := t.TempDir(), t.TempDir()
+	lies, err := lying.New(disk.Machine{}, drive)
+	require.NoError(t, err)
+	with := func(c *Config) { c.Fleet, c.Disk = &Fleet{State: &StateConfig{Dir: dir}}, lies }
+	app := newApp(t, served)
+	a := newRigWith(t, with)
+	a.list(app.target("a", 1))
+	require.Equal(t, http.StatusOK, askBasic(a, "a", 4, 1))
+	a.end()
+	require.NoError(t, lying.Set(drive, lying.Faults{Stalled: true}))
+	b := newRigWith(t, with)
+	b.list(app.target("a", 1))
+	req := b.call(http.MethodGet, "/roster-read", "b") // another customer's
+	resp, _ := b.do(req)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, lying.Set(drive, lying.Faults{}))
+	b.wait("the folder", func() bool { return b.node.loop.keeping.keeper != nil })
+	resp, _ = b.do(b.call(http.MethodGet, "/roster-read", "c"))
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	b.wait("a state of its own", func() bool { return b.node.loop.keeping.writtenAt.Load() > 0 })
+	b.end()
+	f, err := store.Open(disk.Machine{}, dir, "n0")
+	require.NoError(t, err)
+	defer f.Close()
+	s, err := f.Read()
+	require.NoError(t, err)
+	require.True(t, slices.ContainsFunc(s.Records, func(r store.Record) bool { return r.Plan == "basic" }), "the mark of before is gone: %+v", s)
+}
--- a/internal/store/keeper.go
+++ b/internal/store/keeper.go
@@ -71,11 +71,19 @@
 }
 
 func (k *Keeper) run() {
+	last, failed := "", 0 // what the disk refused with, and how often since it last took a state
 	for c := range k.in {
 		begun := time.Now()
 		n, err := k.write(c, begun)
-		if err != nil {
+		switch {
+		case err != nil && err.Error() != last: // not with each try
 			slog.Warn("state: not written", "generation", k.gen, "err", err)
+			last, failed = err.Error(), failed+1
+		case err != nil:
+			failed++
+		case failed > 0:
+			slog.Info("state: written again", "generation", k.gen, "failed", failed)
+			last, failed = "", 0
 		}
 		k.done(err, n, time.Since(begun))
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -35,6 +35,7 @@
 	asideName  = "state.bad-" // and a number
 	asideMost  = 2            // states put aside that are kept
 	namesMost  = 1000         // of a folder that are looked at
+	readTries  = 2            // of a state: a bit may be turned on the way from the disk alone
 	recordMost = 1 << 20      // customers in a state
 )
 
@@ -152,24 +153,31 @@
 
 func (f *Folder) path(name string) string { return filepath.Join(f.dir, name) }
 
-// Read gives the last state that came to the disk; nil is none. One that is of no use is put aside
-// and why tells the reason: a SpoiltError, VersionError, OwnerError or ReadError, within an AsideError
-// where it can't be put aside. The folder can be written to all the same.
+// Read gives the last state that came to the disk; nil is none. One that is of no use, also when it is
+// read again, is put aside and why tells the reason: a SpoiltError, VersionError, OwnerError or
+// ReadError, within an AsideError where it can't be put aside. The folder can be written to all the same.
 func (f *Folder) Read() (s *State, why error) {
+	for range readTries {
+		if s, why = f.read(); why == nil {
+			return s, nil
+		}
+	}
+	if err := f.putAside(); err != nil {
+		why = &AsideError{f.path(stateName), why, err}
+	}
+	return nil, why
+}
+
+func (f *Folder) read() (*State, error) {
 	file := f.path(stateName)
 	raw, err := disk.ReadFile(f.fs, file, BytesMost)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
-		why = &ReadError{file, err}
-	} else if s, why = decode(file, raw, f.node); why == nil {
-		return s, nil
+		return nil, &ReadError{file, err}
 	}
-	if err := f.putAside(); err != nil {
-		why = &AsideError{file, why, err}
-	}
-	return nil, why
+	return decode(file, raw, f.node)
 }
 
 // putAside keeps a state that can't be used under another name, and the oldest of those no longer.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,19 +1,24 @@
 package store
 
 import (
+	"bytes"
 	"errors"
 	"flag"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"martennotch/internal/store/disk"
+	"martennotch/internal/store/disk/lying"
 )
 
 // The same draws in each run, so that the verdict is the same; -rapid.seed gives others.
@@ -209,6 +214,67 @@
 	}
 }
 
+// A disk that refuses is told of once, and once when it takes a state again, however often it is tried.
+func TestRefusalIsLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	defer slog.SetDefault(before)
+	r, done := newRecorder(), make(chan error)
+	refuses := true
+	r.fail = func(string) bool { return refuses }
+	k := NewKeeper(&Folder{fs: r, dir: "d", node: "n1"}, nil, 100, func(err error, _ int, _ time.Duration) { done <- err })
+	for range 5 {
+		k.Put(nil, nil)
+		require.Error(t, <-done)
+	}
+	refuses = false
+	for range 2 {
+		k.Put(nil, nil)
+		require.NoError(t, <-done)
+	}
+	require.NoError(t, k.Close(time.Minute))
+	require.Equal(t, 1, strings.Count(log.String(), `msg="state: not written"`), log.String())
+	require.Equal(t, 1, strings.Count(log.String(), "written again"), log.String())
+}
+
+// turning is a disk of whose opened files the first few turn bits on reading.
+type turning struct {
+	disk.FS
+	drive string
+	left  int
+}
+
+func (d *turning) OpenFile(name string, flag int) (disk.File, error) {
+	if err := lying.Set(d.drive, lying.Faults{Turned: float64(min(1, d.left))}); err != nil {
+		return nil, err
+	}
+	d.left = max(0, d.left-1)
+	return d.FS.OpenFile(name, flag)
+}
+
+// A bit that is turned on the way from the disk alone costs nothing: the state is read again. One that
+// is read so twice is put aside.
+func TestTurnedBitIsReadAgain(t *testing.T) {
+	drive := t.TempDir()
+	lies, err := lying.New(disk.Machine{}, drive)
+	require.NoError(t, err)
+	d := &turning{FS: lies, drive: drive}
+	f, err := Open(d, t.TempDir(), "n1")
+	require.NoError(t, err)
+	defer f.Close()
+	_, err = f.Write(state(7))
+	require.NoError(t, err)
+	d.left = 1
+	got, err := f.Read()
+	require.NoError(t, err)
+	require.Equal(t, state(7), got)
+	d.left = 2
+	_, err = f.Read()
+	var spoilt *SpoiltError
+	require.ErrorAs(t, err, &spoilt)
+}
+
 func FuzzDecode(f *testing.F) {
 	raw, err := encode(state(3))
 	if err != nil {
