--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -38,6 +38,7 @@
 	Run     runCmd     `cmd:"" help:"Play one seed of a scenario and judge it."`
 	Compare compareCmd `cmd:"" help:"Play two sides in turn on the same seeds."`
 	Virtual virtualCmd `cmd:"" help:"Play a scenario's tries in virtual time against ways to share quotas."`
+	Work    workCmd    `cmd:"" help:"Play machines that are taken out for work in virtual time, against the best order found."`
 	List    listCmd    `cmd:"" help:"List the scenarios."`
 }
 
--- a/internal/lab/workday/best.go
+++ b/internal/lab/workday/best.go
@@ -190,8 +190,11 @@
 	}
 }
 
-// Best looks for the order with the least makespan by some steps of a local search from the longest
-// first, and from what it has found after a while without gain.
+// exactMost is the hosts at most for which all orders are tried.
+const exactMost = 9
+
+// Best looks for the order with the least makespan: among all of a few hosts, else by some steps of a
+// local search from the longest first.
 func Best(d *Day, steps int) time.Duration {
 	b, rng := newBest(d), rand.New(rand.NewPCG(d.Seed, 99))
 	order := make([]int, len(b.items))
@@ -201,6 +204,10 @@
 	slices.SortFunc(order, func(x, y int) int { return int(b.items[y].takes - b.items[x].takes) })
 	have := b.makespan(order)
 	least := have
+	if len(order) <= exactMost {
+		b.every(order, 0, func() { least = min(least, b.makespan(order)) })
+		return time.Duration(least) * time.Millisecond
+	}
 	for range steps {
 		next := slices.Clone(order)
 		for range 1 + rng.IntN(3) {
@@ -216,6 +223,19 @@
 	return time.Duration(least) * time.Millisecond
 }
 
+// every calls do with each order of what is behind an index.
+func (b *best) every(order []int, at int, do func()) {
+	if at == len(order) {
+		do()
+		return
+	}
+	for i := at; i < len(order); i++ {
+		order[at], order[i] = order[i], order[at]
+		b.every(order, at+1, do)
+		order[at], order[i] = order[i], order[at]
+	}
+}
+
 // Bound is a time that no order goes below: what the turns of one zone, of one kind of machine, of a
 // group, of voters or of one set take in all, over what may be away of them.
 func Bound(d *Day) time.Duration {
--- a/internal/lab/workday/day.go
+++ b/internal/lab/workday/day.go
@@ -112,8 +112,15 @@
 		Jobs: []turns.Job{{Name: "kernel", Length: turns.Span(span(8*time.Minute, 15*time.Minute))},
 			{Name: "power", Length: turns.Span(span(15*time.Minute, 30*time.Minute))}, {Name: "disks", Length: turns.Span(span(3*time.Minute, 8*time.Minute))}}}
 	var nodes, servers []string
+	beside := map[string]int{}
+	for _, m := range d.Machines {
+		beside[m.Zone+m.Kind.String()]++
+	}
 	for _, i := range rng.Perm(len(d.Machines)) {
 		m := &d.Machines[i]
+		if beside[m.Zone+m.Kind.String()] < 2 {
+			continue // the only one of its kind there never goes
+		}
 		group := &servers
 		if m.Kind == turns.Node {
 			group = &nodes
--- a/internal/lab/workday/judge.go
+++ b/internal/lab/workday/judge.go
@@ -6,8 +6,28 @@
 	"time"
 
 	"martennotch/fleet/turns"
+	"martennotch/internal/lab/judge"
 )
 
+// Figures gives what was measured, against the best order that some steps of search find.
+func (p *Play) Figures(steps int) judge.Figures {
+	took, bound := p.Makespan.Seconds(), Bound(p.d).Seconds()
+	f := judge.Figures{
+		{Name: "broken", Value: float64(len(p.Broken)), Unit: "bounds"},
+		{Name: "makespan", Value: took / 60, Unit: "min"},
+		{Name: "over_bound", Value: took / bound, Unit: "times a lower bound"},
+		{Name: "forecast", Value: float64(p.Forecast.Done-begin) / 1000 / took, Unit: "of the makespan, as said at the plan's acceptance"},
+		{Name: "most_away", Value: float64(p.Most), Unit: "machines"},
+		{Name: "halts", Value: float64(p.Halts)},
+		{Name: "recalled", Value: float64(p.Recalled), Unit: "drains"},
+		{Name: "log", Value: float64(p.LookBytes) / took, Unit: "bytes of evidence a second"},
+	}
+	if steps > 0 {
+		f = append(f, judge.Figure{Name: "over_best", Value: took / Best(p.d, steps).Seconds(), Unit: "times the best order found"})
+	}
+	return f
+}
+
 // seenAfter is how old a death has to be for a step out to reckon with it.
 const seenAfter = time.Second
 
--- a/internal/lab/workday/play.go
+++ b/internal/lab/workday/play.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	step     = 500 * time.Millisecond // between two looks of the leader, and of an agent at its turn
+	step     = 250 * time.Millisecond // between two looks of the leader, and of an agent at its turn
 	idleStep = 10 * time.Second       // between two words of an agent that waits
 	restart  = 20 * time.Second       // of a process that died
 	longest  = 100 * time.Hour
