Have voters that start anew learn of the nodes that ask them

A node whose asks nobody answers for 2 s now exchanges members with one that it asks, with pauses doubled to 30 s. The status shows 100 versions in place of 32.

--- a/cmd/lockflow/councilfleet_test.go
+++ b/cmd/lockflow/councilfleet_test.go
@@ -119,6 +119,10 @@
 	}
 	t.Cleanup(func() {
 		for i := range f.nodes {
+			if t.Failed() { // their stacks come to the log
+				f.nodes[i].cmd.Process.Signal(syscall.SIGQUIT)
+				<-f.nodes[i].done
+			}
 			f.kill(i)
 		}
 		if t.Failed() {
--- a/internal/council/learn/learn.go
+++ b/internal/council/learn/learn.go
@@ -31,6 +31,8 @@
 	proposeWithin = time.Second
 	proposeAgain  = 200 * time.Millisecond // after one that came to nothing
 	stepMost      = 10 * time.Second       // between two looks at all, where nothing is due
+	meetAfter     = 2 * time.Second        // without a word of anybody
+	meetMost      = 30 * time.Second       // between two such, doubled until then
 )
 
 // Member is another node that can be sent to.
@@ -58,7 +60,8 @@
 	Dir         string // on a disk that outlives the process
 	Disk        disk.FS
 	Send        func(to int, raw []byte) error
-	Act         func() // is told that Acting has another version, and does not wait
+	Meet        func(to int) error // has a node that does not answer learn of this one; it waits
+	Act         func()             // is told that Acting has another version, and does not wait
 	Council     Council
 	Registry    *Registry // with Council, at a voter; else nil
 }
@@ -90,6 +93,11 @@
 	work    sync.WaitGroup
 	members []Member
 	leads   bool
+	heard   time.Duration // when a message about leases came last
+	meetAt  time.Duration
+	pause   time.Duration // until it is tried again
+	meeting bool
+	met     int
 
 	texts     []text // latest last
 	fetch     *fetching
@@ -126,7 +134,7 @@
 	rand.Read(id[:])
 	l := &Learner{cfg: cfg, life: binary.BigEndian.Uint64(id[:]) | 1, in: make(chan func(), inboxMost), ended: make(chan struct{})}
 	l.node = rules.NewNode(rules.Config{Self: cfg.Self, Life: l.life, Mark: mark, Terms: cfg.Terms}, Clock())
-	l.states.of = make(map[int]heardState)
+	l.states.of, l.heard, l.pause = make(map[int]heardState), Clock(), meetAfter
 	l.acting.Store(&Acting{Why: rules.NoLease})
 	l.word.Store(&rules.Word{})
 	l.sum.Store(&State{})
@@ -201,7 +209,10 @@
 			slog.Debug("rules: a spoilt message", "err", err)
 			return nil
 		}
-		return func() { l.node.Hear(Clock(), m) }
+		return func() {
+			l.heard, l.pause = Clock(), meetAfter
+			l.node.Hear(l.heard, m)
+		}
 	case kindWant:
 		if q := decode[want](raw[1:]); q != nil && q.From >= 0 && q.From < l.cfg.Group {
 			return func() { l.serve(q) }
@@ -274,6 +285,7 @@
 	l.keep(ctx)
 	l.confirm(ctx)
 	l.propose(ctx)
+	l.meet(ctx)
 	l.states.flush(l)
 	l.show()
 	l.arm()
@@ -287,6 +299,24 @@
 	}
 }
 
+// meet has the nodes that it asks learn of this one, where none of them answers: a voter that has
+// started anew can't answer a node that it does not know.
+func (l *Learner) meet(ctx context.Context) {
+	p, now := l.parents(), Clock()
+	if l.leads || l.meeting || len(p) == 0 || now < l.heard+meetAfter || now < l.meetAt {
+		return
+	}
+	to := p[l.met%len(p)]
+	l.met++
+	l.meetAt, l.pause, l.meeting = now+l.pause, min(2*l.pause, meetMost), true
+	l.work.Go(func() {
+		if err := l.cfg.Meet(to); err != nil {
+			slog.Debug("rules: nobody answers", "asked", to, "err", err)
+		}
+		l.post(ctx, func() { l.meeting = false })
+	})
+}
+
 // keep has the disk keep the number that is to be acted by.
 func (l *Learner) keep(ctx context.Context) {
 	number, ok := l.node.Keep(Clock())
--- a/internal/node/council.go
+++ b/internal/node/council.go
@@ -49,7 +49,7 @@
 	c := &council{cfg: f, name: cfg.Name, loop: l, settings: ruleSettings(cfg)}
 	fs := cmp.Or[disk.FS](cfg.Disk, disk.Machine{})
 	lc := learn.Config{Self: cfg.Settings.SelfIndex, Group: cfg.Settings.GroupSize, Name: cfg.Name, Zone: cfg.Settings.Zone,
-		Settings: c.settings, Terms: rules.Usual, Dir: f.Dir, Disk: fs, Send: c.send, Act: c.act}
+		Settings: c.settings, Terms: rules.Usual, Dir: f.Dir, Disk: fs, Send: c.send, Meet: c.meet, Act: c.act}
 	var voters []agreement.Peer
 	for _, v := range f.Voters {
 		lc.Voters = append(lc.Voters, v.Name)
@@ -149,6 +149,13 @@
 	return &peer.MemberError{Index: to}
 }
 
+func (c *council) meet(to int) error {
+	if p := c.peers.Load(); p != nil {
+		return p.Meet(to)
+	}
+	return &peer.MemberError{Index: to}
+}
+
 // act has the loop look by which version requests go, also where none begins.
 func (c *council) act() { c.loop.post(func() { c.look() }) }
 
--- a/internal/node/councilcalls.go
+++ b/internal/node/councilcalls.go
@@ -23,7 +23,7 @@
 const (
 	callOffice    = 'o' // calls of operators, from node to voter
 	officeWithin  = 1500 * time.Millisecond
-	versionsShown = 32
+	versionsShown = 100
 )
 
 // order is an operators' call on its way to the leader.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -162,6 +162,21 @@
 	return p.list.SendBestEffort(to, raw)
 }
 
+// Meet exchanges all that is known of members with that of an index: one that has started anew may not
+// know this node yet, while this node goes on seeing it. It waits for the exchange.
+func (p *Peers) Meet(index int) error {
+	p.mu.Lock()
+	to := p.nodes[index]
+	p.mu.Unlock()
+	if to == nil {
+		return &MemberError{index}
+	}
+	if _, err := p.list.Join([]string{to.Address()}); err != nil {
+		return &JoinError{Seeds: 1, Err: err}
+	}
+	return nil
+}
+
 // SetSeeds replaces the addresses by which the fleet is joined.
 func (p *Peers) SetSeeds(seeds []string) {
 	p.mu.Lock()
