--- a/internal/council/learn/learn.go
+++ b/internal/council/learn/learn.go
@@ -317,31 +317,6 @@
 	})
 }
 
-// keep has the disk keep the number that is to be acted by.
-func (l *Learner) keep(ctx context.Context) {
-	number, ok := l.node.Keep(Clock())
-	if !ok || l.keeping {
-		return
-	}
-	l.keeping = true
-	l.work.Go(func() {
-		err := writeMark(l.cfg.Disk, l.cfg.Dir, l.cfg.Name, number)
-		if err != nil {
-			slog.Error("rules: the disk does not keep the version acted by, the settings alone hold", "version", number, "err", err)
-			select { // before it is tried again
-			case <-time.After(time.Second):
-			case <-ctx.Done():
-			}
-		}
-		l.post(ctx, func() {
-			if l.keeping = false; err == nil {
-				l.Counts.Marks.Add(1)
-				l.node.Kept(number)
-			}
-		})
-	})
-}
-
 // show puts out by what requests go.
 func (l *Learner) show() {
 	w := l.node.Word()
--- a/internal/council/learn/mark.go
+++ b/internal/council/learn/mark.go
@@ -1,9 +1,12 @@
 package learn
 
 import (
+	"context"
 	"errors"
 	"io/fs"
+	"log/slog"
 	"path/filepath"
+	"time"
 
 	"martennotch/internal/council/raftlog"
 	"martennotch/internal/store/disk"
@@ -51,3 +54,28 @@
 	}
 	return disk.WriteFile(d, filepath.Join(dir, markName), raw)
 }
+
+// keep has the disk keep the number that is to be acted by.
+func (l *Learner) keep(ctx context.Context) {
+	number, ok := l.node.Keep(Clock())
+	if !ok || l.keeping {
+		return
+	}
+	l.keeping = true
+	l.work.Go(func() {
+		err := writeMark(l.cfg.Disk, l.cfg.Dir, l.cfg.Name, number)
+		if err != nil {
+			slog.Error("rules: the disk does not keep the version acted by, the settings alone hold", "version", number, "err", err)
+			select { // before it is tried again
+			case <-time.After(time.Second):
+			case <-ctx.Done():
+			}
+		}
+		l.post(ctx, func() {
+			if l.keeping = false; err == nil {
+				l.Counts.Marks.Add(1)
+				l.node.Kept(number)
+			}
+		})
+	})
+}
