Spend less time in the node's tests on drains that nobody looks at

Each test that starts a node ended with a drain of 1 s, some sixty times; those that only wait for a stall ran one after the other; and each start of the program built it. Drains at a test's end take 0.2 s, the waiting ones run side by side, the program is built once.

--- a/cmd/lockflow/program_test.go
+++ b/cmd/lockflow/program_test.go
@@ -18,13 +18,35 @@
 
 func build(t *testing.T) string {
 	t.Helper()
-	bin := filepath.Join(t.TempDir(), "lockflow")
-	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+	bin, err := built()
+	if err != nil {
+		t.Fatal(err)
 	}
 	return bin
 }
 
+// built builds the program once, in a folder that TestMain removes.
+var built = sync.OnceValues(func() (string, error) {
+	bin := filepath.Join(folder, "lockflow")
+	out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, out)
+	}
+	return bin, err
+})
+
+var folder string
+
+func TestMain(m *testing.M) {
+	var err error
+	if folder, err = os.MkdirTemp("", "lockflow"); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
 // program is a running lockflow.
 type program struct {
 	*exec.Cmd
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -55,6 +55,7 @@
 
 // What an app server doesn't answer while the node drains is answered as failed before the end.
 func TestDrainWithSilentAppServer(t *testing.T) {
+	t.Parallel()
 	r := newRig(t)
 	answered := r.held()
 	r.stop()
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -83,16 +83,20 @@
 	if r.node, err = New(cfg); err != nil {
 		t.Fatal(err)
 	}
-	r.node.most = drainServe + 800*time.Millisecond // short drains: each test ends with one
+	r.node.most = drainServe + 800*time.Millisecond // short drains
 	tell := r.node.discovery.tell
 	r.node.discovery.tell = func(l listing) {
 		tell(l)
 		r.told <- l.Rev
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r.stop = stop
+	stopped := false
+	r.stop = func() { stopped = true; stop() }
 	go func() { r.ended <- r.node.Run(ctx) }()
 	t.Cleanup(func() {
+		if !stopped {
+			r.node.most = drainServe // nobody looks at this drain
+		}
 		stop()
 		select {
 		case err := <-r.ended:
--- a/internal/node/keeping_test.go
+++ b/internal/node/keeping_test.go
@@ -92,6 +92,7 @@
 // A process that finds the folder in use serves all the same, and keeps its state when the one
 // before has ended, with what that one had marked.
 func TestFolderInUse(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	with := func(c *Config) { c.Fleet = &Fleet{State: &StateConfig{Dir: dir}} }
 	app := newApp(t, served)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -108,6 +108,7 @@
 
 // At the end of the client's time the attempt's connection is closed and the client is told.
 func TestTimeOut(t *testing.T) {
+	t.Parallel()
 	for class, tc := range map[string]struct {
 		method string
 		want   int
--- a/internal/node/sharing_test.go
+++ b/internal/node/sharing_test.go
@@ -115,6 +115,7 @@
 
 // A process that starts while the one before it still has the address begins to talk when that ends.
 func TestTalkBeginsWhenTheAddressIsFree(t *testing.T) {
+	t.Parallel()
 	before, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -112,6 +112,7 @@
 
 // A peer that takes nothing, or answers nothing, holds an attempt no longer than its time.
 func TestSilentPeer(t *testing.T) {
+	t.Parallel()
 	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel only
 	if err != nil {
 		t.Fatal(err)
@@ -176,6 +177,7 @@
 // An answer that stops half way, or says that it is too long, is a reset as soon as that is
 // known: the connection stays open and silent, and the attempt must not wait for its time.
 func TestAnswerThatStops(t *testing.T) {
+	t.Parallel()
 	for name, text := range map[string]string{
 		"in its head":       "HTTP/1.1 200 OK\r\nContent-Le",
 		"in its body":       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
