--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -108,6 +109,15 @@
 	return r
 }
 
+var hosts atomic.Int64
+
+// ownHost gives a host that no other test and no other process uses, so that a port which is free
+// there stays so.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 230+hosts.Add(1), pid>>8&0xff, pid&0xff)
+}
+
 // list tells the node of changes and returns when the module knows them.
 func (r *rig) list(targets ...target) {
 	r.t.Helper()
--- a/internal/node/sharing_test.go
+++ b/internal/node/sharing_test.go
@@ -17,8 +17,9 @@
 // pair starts two nodes that know each other, and share limits or don't.
 func pair(t *testing.T, limits bool) [2]*rig {
 	var ports [2]int
+	host := ownHost()
 	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -29,7 +30,8 @@
 	for i := range rigs {
 		rigs[i] = newRigWith(t, func(c *Config) {
 			c.Name, c.Settings.SelfIndex, c.Settings.PeerMessages = fmt.Sprint("n", i), i, true
-			c.Fleet = &Fleet{Peers: &PeersConfig{Label: t.Name(), Port: ports[i], Seeds: []string{fmt.Sprint("127.0.0.1:", ports[1-i])}, Limits: limits}}
+			c.Listen = host + ":0"
+			c.Fleet = &Fleet{Peers: &PeersConfig{Label: t.Name(), Port: ports[i], Seeds: []string{fmt.Sprint(host, ":", ports[1-i])}, Limits: limits}}
 		})
 	}
 	for _, r := range rigs {
