Let the lab's discovery turn calls away, and price what a node in doubt does

Need: the price of going by servers' own word had no measured figure, and the stand-in's discovery could not be full. New kind of fault: full (calls are turned away, open watches end).

--- a/internal/lab/discovery/discovery.go
+++ b/internal/lab/discovery/discovery.go
@@ -75,6 +75,7 @@
 	changed chan struct{}
 	dark    bool
 	bad     bool
+	full    bool
 	badNext int
 	http    *http.Server
 }
@@ -162,6 +163,14 @@
 	a.learn()
 }
 
+// Full has the agent turn all calls away, and ends the watches that are open, or lets calls in again.
+func (a *Agent) Full(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.full = on
+	a.wake()
+}
+
 // Silence has the watches that are open say nothing more, without a word. New calls are answered.
 func (a *Agent) Silence() {
 	a.mu.Lock()
@@ -208,6 +217,13 @@
 }
 
 func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	open, full := a.silent, a.full
+	a.mu.Unlock()
+	if full {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
 	if r.URL.Query().Get("watch") != "1" {
 		if a.send(w, r, 0) >= 0 {
@@ -216,13 +232,13 @@
 		return
 	}
 	w.WriteHeader(http.StatusOK)
-	a.mu.Lock()
-	open := a.silent
-	a.mu.Unlock()
 	for first := true; ; first = false {
 		a.mu.Lock()
-		rev, changed, news, silent := a.rev, a.changed, first || a.rev > from || a.bad, a.silent != open
+		rev, changed, news, silent, full := a.rev, a.changed, first || a.rev > from || a.bad, a.silent != open, a.full
 		a.mu.Unlock()
+		if full {
+			return
+		}
 		if silent {
 			<-r.Context().Done()
 			return
--- a/internal/lab/discovery/discovery_test.go
+++ b/internal/lab/discovery/discovery_test.go
@@ -65,12 +65,23 @@
 	c.hears(first, "draining")
 	c.hears(held, "draining")
 
+	a.Full(true)
+	resp, err := http.Get("http://" + c.addr + "/v1/servers")
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	a.Full(false)
+	first, held = c.watch(), c.watch()
+	c.hears(first, "draining")
+	c.hears(held, "draining")
+
 	a.Silence()
 	a.Put(0, Target{UID: "s-1", State: "removed"})
 	require.Equal(t, "removed", <-has)
 	c.hears(c.watch(), "removed")
 	require.Empty(t, strings.TrimSpace(strings.Join([]string{drain(first), drain(held)}, "")))
-	require.ElementsMatch(t, []string{"draining", "draining", "removed"}, []string{<-told, <-told, <-told})
+	require.ElementsMatch(t, []string{"draining", "draining", "draining", "draining", "removed"},
+		[]string{<-told, <-told, <-told, <-told, <-told})
 }
 
 // drain gives what lines have come and were not read.
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -49,6 +49,8 @@
 		}
 	case "dark":
 		p.agentsFor(ctx, e.For, (*discovery.Agent).Dark)
+	case "full":
+		p.agentsFor(ctx, e.For, (*discovery.Agent).Full)
 	case "silent":
 		for i, a := range p.agents {
 			p.note(p.book.Silent, i)
--- a/internal/lab/origin/http.go
+++ b/internal/lab/origin/http.go
@@ -193,6 +193,10 @@
 	}
 	s.fleet.Book.With(func() { s.fleet.Book.Probes++ })
 	s.burden(probeTries)
+	if s.m.Drain > 0 && s.fleet.Clock() > s.m.Drain {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -23,6 +23,7 @@
 	"reset":   {share: true},                         // open connections to some servers are reset
 	"replace": {share: true, span: true},             // servers drain and new ones come, over for_s
 	"dark":    {span: true},                          // discovery is silent
+	"full":    {span: true},                          // discovery turns calls away and ends open watches
 	"silent":  {},                                    // open watches of discovery say nothing more; new ones are answered
 	"spoilt":  {span: true},                          // discovery sends what is no list
 	"move":    {},                                    // discovery moves; nodes get SIGHUP
