Never ask the library of members for anything under our own lock

memberlist tells of members while it holds its lock, and the look for seeds asked it for this node's address under ours: a member that came at that moment left both waiting for ever. Such a node hears of no member any more and does not end by itself (seen once: a test's node saw nobody in 30 s and did not end in 30 s more).

The address is asked for before. The new test puts both in that order: it fails in 10 s without the change and passes in 0.6 s with it, three times of three.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -241,9 +241,11 @@
 
 // missing gives seeds to join by: all while alone, else one that is not live.
 func (p *Peers) missing() []string {
+	// The library tells of members under its own lock, so it is never asked for anything under ours.
+	own := p.Address()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	here := map[string]bool{p.Address(): true}
+	here := map[string]bool{own: true}
 	for _, m := range p.live {
 		here[m.Address] = true
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -145,6 +145,27 @@
 	until(t, "both to be together again", both(1))
 }
 
+// The library tells of members while it holds its own lock: nothing may ask the library for anything
+// under ours. Here a look for seeds waits for our lock, and behind it the word of a new member.
+func TestNoLockIsTakenAgainstTheLibrarys(t *testing.T) {
+	t.Parallel()
+	a := start(t, Config{Name: "n0", Seed: 1, Receive: func([]byte) {}})
+	a.mu.Lock()
+	looked := make(chan []string, 1)
+	go func() { looked <- a.missing() }()
+	time.Sleep(50 * time.Millisecond) // only for the order; any other one passes too
+	b := start(t, Config{Name: "n1", Seed: 2, Seeds: []string{a.Address()}, Receive: func([]byte) {}})
+	time.Sleep(500 * time.Millisecond)
+	a.mu.Unlock()
+	select {
+	case <-looked:
+	case <-time.After(patience / 6):
+		t.Fatal("the look for seeds and the library wait for each other")
+	}
+	until(t, "the new member", sees(a, 1))
+	require.NoError(t, errors.Join(a.Close(), b.Close()))
+}
+
 // free gives an address that nobody listens at. It is this process's own, so that no other's
 // connection takes the port meanwhile.
 func free(t *testing.T) string {
