--- a/fleet/turns/turns.go
+++ b/fleet/turns/turns.go
@@ -317,13 +317,13 @@
 	}
 }
 
-// stage is how far a host's turn is.
+// stage is how far a host's turn is; one without work is done.
 func (s *State) stage(host string) Stage {
 	if t := s.turns[host]; t != nil {
 		return t.Stage
 	}
-	if s.plan != nil && s.done[host] != "" {
-		return Done
+	if _, wanted := s.wanted(host); wanted {
+		return Waiting
 	}
-	return Waiting
+	return Done
 }
--- a/fleet/turns/words.go
+++ b/fleet/turns/words.go
@@ -88,7 +88,7 @@
 		work, wanted := s.wanted(host)
 		if !wanted {
 			if s.plan == nil || s.done[host] == "" {
-				return &UnknownHostError{Host: host}
+				return &UnknownHostError{Host: host} // it polls until a plan has work for it
 			}
 			return nil
 		}
