--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -83,16 +84,20 @@
 	if r.node, err = New(cfg); err != nil {
 		t.Fatal(err)
 	}
-	r.node.most = drainServe + 800*time.Millisecond // short drains: each test ends with one
+	r.node.most = drainServe + 800*time.Millisecond // short drains
 	tell := r.node.discovery.tell
 	r.node.discovery.tell = func(l listing) {
 		tell(l)
 		r.told <- l.Rev
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r.stop = stop
+	stopped := false
+	r.stop = func() { stopped = true; stop() }
 	go func() { r.ended <- r.node.Run(ctx) }()
 	t.Cleanup(func() {
+		if !stopped {
+			r.node.most = drainServe // nobody looks at this drain
+		}
 		stop()
 		select {
 		case err := <-r.ended:
@@ -104,6 +109,15 @@
 	return r
 }
 
+var hosts atomic.Int64
+
+// ownHost gives a host that no other test and no other process uses, so that a port which is free
+// there stays so.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 230+hosts.Add(1), pid>>8&0xff, pid&0xff)
+}
+
 // list tells the node of changes and returns when the module knows them.
 func (r *rig) list(targets ...target) {
 	r.t.Helper()
