--- a/internal/lab/scenario/links_test.go
+++ b/internal/lab/scenario/links_test.go
@@ -21,6 +21,7 @@
 		{Kind: "kill", Share: one(0.3)},
 		{Kind: "lag", Same: 4, Links: []string{"agents", "clients"}, Direction: "out"},
 		{Kind: "power", Same: 4},
+		{Kind: "disk", Share: one(0.2), How: "full"},
 	}
 	for seed := range uint64(20) {
 		d, err := f.Draw(seed)
@@ -32,6 +33,7 @@
 		require.Len(t, e[4].Links, 2*3)
 		require.ElementsMatch(t, e[3].Targets, e[4].Targets)
 		require.Equal(t, e[3].Targets, e[5].Targets)
+		require.Len(t, e[6].Targets, 2, "a disk's targets are its own")
 		for i, x := range e {
 			for _, l := range x.Links {
 				back := Link{l.Kind, l.Other, l.Node, l.Out, l.In}
--- a/internal/lab/scenario/timetable.go
+++ b/internal/lab/scenario/timetable.go
@@ -31,11 +31,13 @@
 		case "kill", "stop":
 			e.Targets = nodes()
 		case "disk", "power":
-			if e.Targets = taken[max(0, x.Same-1)]; x.Same == 0 {
-				in := d.nodesIn(x.Zone)
-				for _, k := range some(len(in)) {
-					e.Targets = append(e.Targets, in[k])
-				}
+			if x.Same > 0 {
+				e.Targets = taken[x.Same-1]
+				break
+			}
+			in := d.nodesIn(x.Zone)
+			for _, k := range some(len(in)) {
+				e.Targets = append(e.Targets, in[k])
 			}
 		case "drop", "stall", "trickle", "lag":
 			e.Targets, e.Links = d.drawLinks(x, taken, share, rng)
