Refuse a message whose uses or stores claim to have waited longer than any can

What it could gain was bounded by the 16 s of refill that a store remembers; now the message is dropped and counted as spoilt like the rest. TestWaitsAreBounded fails without it.

--- a/fleet/share/message.go
+++ b/fleet/share/message.go
@@ -127,6 +127,9 @@
 	if !node(m.From) || m.Number == 0 || m.Hop < 0 || m.Hop > hopLast || m.Seq == 0 && len(m.Uses)+len(m.Hands) > 0 {
 		return errors.New("a head that can't be")
 	}
+	if m.UseAge > ageMost || m.HandAge > ageMost {
+		return errors.New("a wait that can't be")
+	}
 	if len(m.Uses) > usesMost || len(m.Hands) > usesMost || len(m.Levels) > levelsMost || len(m.Owners) > ownersMost ||
 		len(m.Charges) > chargesMost {
 		return errors.New("more in a message than there can be")
--- a/fleet/share/share_test.go
+++ b/fleet/share/share_test.go
@@ -253,3 +253,14 @@
 	}
 	return out
 }
+
+// A wait longer than any that a node tells is a spoilt message: nobody has the refill of a minute on its word.
+func TestWaitsAreBounded(t *testing.T) {
+	for _, m := range []*Message{{UseAge: ageMost}, {UseAge: ageMost + 1}, {HandAge: ageMost + 1}} {
+		m.Number = 1
+		raw, err := m.Encode()
+		assert.NoError(t, err)
+		_, err = Decode(raw, 3)
+		assert.Equal(t, m.UseAge > ageMost || m.HandAge > ageMost, err != nil, "%+v", m)
+	}
+}
