Keep the work of a decision independent of the length of the server list

Cause: balancer.pick looked at all servers, and for each one that warms up slowStart.observedCapacity counted all of them again; the queue multiplied that by each request bound to the scope of its key.

Change: serverSet keeps its counts and an index by zone, cell and role where a server's state changes. Slow starts end by a heap. A choice on a list of more than 400 usable servers looks at a random sample of each role, at most 160; shorter lists are decided as before. A scope that has refused a request is not examined again in the same pass. ServersExamined counts the work.

--- a/control/attempt.go
+++ b/control/attempt.go
@@ -16,7 +16,7 @@
 		s.tokens -= r.tokens
 	}
 	if s.consecutiveFailures >= ejectionFailures {
-		s.trialInFlight = true
+		c.outliers.beginTrial(s)
 	}
 	c.recordStart(r, s)
 	send := Send{ID: r.id, Server: s.Server}
@@ -154,7 +154,7 @@
 	case ResetByPeer, Errored:
 		c.outliers.recordError(s)
 	case NeverSent: // no evidence about the server
-		s.trialInFlight = false
+		c.outliers.endTrial(s)
 	case TimedOut:
 		// A client that gives up before the latency objective is no evidence of a slow server or of
 		// overload.
--- a/control/balancer.go
+++ b/control/balancer.go
@@ -13,6 +13,7 @@
 	traffic   *trafficStats
 	outliers  *outlierDetector
 	slowStart *slowStart
+	sample    []*server // see candidates
 }
 
 // Factors by which the cost of a server is multiplied.
@@ -27,6 +28,12 @@
 	maxCostJitter     = 0.02 // maximum random increase, as a fraction of the cost
 )
 
+// maxScannedServers is the number of usable servers up to which each choice looks at all of them.
+const maxScannedServers = 400
+
+// maxCandidates is the maximum number of candidates by role where the list is longer.
+var maxCandidates = [roleCount]int{warmPreferred: 64, warmOther: 32, slowStarting: 64}
+
 const (
 	minLatency = 1e-3 // minimum expected latency, in seconds
 	// spreadExponent is applied to the random factor that spreads the attempts of a large fleet while servers
@@ -34,17 +41,18 @@
 	spreadExponent = 0.25
 )
 
-// pick returns the usable server with the lowest cost that may receive an attempt now, or nil if the request
-// has to wait. While servers are warming up, a node of a large fleet multiplies each cost by a random factor.
-// Each of these nodes knows little of how busy a server is, so without the factor all of them would choose
-// the same few servers.
+// pick returns the server with the lowest cost among the candidates that may receive an attempt now, or nil
+// if the request has to wait. While servers are warming up, a node of a large fleet multiplies each cost by a
+// random factor. Each of these nodes knows little of how busy a server is, so without the factor all of them
+// would choose the same few servers.
 func (b *balancer) pick(r *request) *server {
 	var best *server
 	bestCost := math.Inf(1)
 	draw := b.env.evacuationDraw()
 	avoidClosed := b.avoidsClosedZones(r)
-	spread := b.env.largeFleet() && b.servers.count((*server).usableWarmingUp) > 0
-	for _, s := range b.servers.ordered {
+	spread := b.env.largeFleet() && len(b.servers.warmingUp()) > 0
+	b.slowStart.endExpired()
+	for _, s := range b.candidates(r, avoidClosed) {
 		if !s.usable() || !dropsDuplicates(r, s) || (avoidClosed && r.rules.closesZoneOf(s)) {
 			continue
 		}
@@ -71,6 +79,44 @@
 	return best
 }
 
+// candidates returns the servers among which pick chooses. They contain each server that may receive the
+// request if the list has at most maxScannedServers usable ones. Of a longer list they are a random sample of
+// each role, as in the choice among d random servers, so that a choice costs the same however long the list
+// is. The slice is valid until the next call.
+func (b *balancer) candidates(r *request, avoidClosed bool) []*server {
+	if b.servers.usable <= maxScannedServers {
+		b.servers.examined += uint64(len(b.servers.ordered))
+		return b.servers.ordered
+	}
+	b.sample = b.sample[:0]
+	index := &b.servers.index
+	switch {
+	case r.dedupScope() == KeyScopeZone:
+		b.addCandidates(index.byZone[r.dedupServer.Zone])
+	case r.dedupScope() == KeyScopeCell:
+		b.addCandidates(index.byCell[r.dedupServer.Cell])
+	case avoidClosed:
+		for _, zone := range b.servers.openZones(r.rules) {
+			b.addCandidates(index.byZone[zone])
+		}
+	default:
+		b.addCandidates(&index.all)
+	}
+	b.servers.examined += uint64(len(b.sample))
+	return b.sample
+}
+
+// addCandidates adds a sample of each role of a group to the candidates. A group that does not exist has no
+// servers.
+func (b *balancer) addCandidates(group *serverGroup) {
+	if group == nil {
+		return
+	}
+	for role, limit := range maxCandidates {
+		b.sample = appendSample(b.sample, group.servers[role], limit, b.env.random)
+	}
+}
+
 // avoids reports whether the server may be chosen only if there is no other.
 func (b *balancer) avoids(r *request, s *server, evacuationDraw float64) bool {
 	return b.outliers.ejected(s) || s.trialInFlight || b.env.now < s.rejectsPlanUntil[r.plan] ||
@@ -81,10 +127,7 @@
 // with a key may have run, only the servers in the scope of its key drop its duplicates, so only these are
 // allowed. Any other request may be sent to any server.
 func dropsDuplicates(r *request, s *server) bool {
-	if r.dedupServer == nil || r.class.Idempotency != IdempotentByKey {
-		return true
-	}
-	switch r.class.KeyScope {
+	switch r.dedupScope() {
 	case KeyScopeZone:
 		return r.dedupServer.Zone == s.Zone
 	case KeyScopeCell:
@@ -148,7 +191,13 @@
 	if len(r.rules.ClosedZones) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(b.servers.ordered, func(s *server) bool {
-		return s.usable() && dropsDuplicates(r, s) && !r.rules.closesZoneOf(s)
-	})
+	switch r.dedupScope() {
+	case KeyScopeZone:
+		zone := r.dedupServer.Zone
+		return b.servers.index.byZone[zone] != nil && !slices.Contains(r.rules.ClosedZones, zone)
+	case KeyScopeCell:
+		cell := b.servers.index.byCell[r.dedupServer.Cell]
+		return cell != nil && cell.containsOutside(r.rules)
+	}
+	return len(b.servers.openZones(r.rules)) > 0
 }
--- a/control/concurrency.go
+++ b/control/concurrency.go
@@ -75,14 +75,14 @@
 // bounds alone. Ejected servers do not count. In a large fleet a server that is warming up counts by its
 // warm-up fraction.
 func (l *concurrencyLimit) minBound() float64 {
-	servers := 0.0
-	for _, s := range l.servers.ordered {
-		switch {
-		case !s.usable() || s.consecutiveFailures >= ejectionFailures:
-		case s.warmingUp && l.env.largeFleet():
-			servers += l.slowStart.warmupFraction(s)
-		default:
-			servers++
+	failing := func(s *server) bool { return s.usable() && s.consecutiveFailures >= ejectionFailures }
+	servers := l.servers.usable - l.servers.countSuspects(failing)
+	if l.env.largeFleet() {
+		l.servers.examined += uint64(len(l.servers.warmingUp()))
+		for _, s := range l.servers.warmingUp() {
+			if !failing(s) {
+				servers -= 1 - l.slowStart.warmupFraction(s)
+			}
 		}
 	}
 	return min(boundPerServer, minFleetBoundPerServer/l.servers.nodesPerServer) * max(1, servers)
--- a/control/controller.go
+++ b/control/controller.go
@@ -58,7 +58,7 @@
 		c.classes[class.Name] = class
 	}
 	c.traffic = trafficStats{meanTokens: initialMeanTokens}
-	c.servers = serverSet{env: env, byID: map[uint32]*server{}, nodesPerServer: float64(s.FleetSize)}
+	c.servers = newServerSet(env)
 	c.slowStart = slowStart{env: env, servers: &c.servers, traffic: &c.traffic}
 	c.outliers = outlierDetector{env: env, servers: &c.servers, traffic: &c.traffic}
 	c.balancer = balancer{
--- a/control/discovery.go
+++ b/control/discovery.go
@@ -39,11 +39,9 @@
 	c.servers.applyUpdate(e, func(s *server, listed Endpoint) {
 		if listed.HasStartedAt && (!s.HasStartedAt || listed.StartedAt > s.StartedAt) {
 			s.resetObservations()
+			c.servers.updateSuspect(s)
 		}
 		c.slowStart.begin(s, listed)
 	})
-	for _, s := range c.servers.ordered {
-		s.preferred = c.servers.isPreferred(s)
-	}
 	c.concurrency.initialize()
 }
--- a/control/handover.go
+++ b/control/handover.go
@@ -217,8 +217,10 @@
 	}
 	for id, saved := range h.Servers { // these are not listed until an endpoint list contains them
 		s := loadServer(id, saved, c.env.now)
-		c.servers.byID[id] = s
-		c.servers.ordered = append(c.servers.ordered, s)
+		c.servers.add(s)
+		if s.warmingUp {
+			c.slowStart.scheduleEnd(s)
+		}
 	}
 	lastBin := int64(h.At / c.env.binLength())
 	for key, saved := range h.Tenants {
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -51,6 +51,7 @@
 	attempts       map[string]int           // number of attempts by request
 	timers         map[uint64]time.Duration // time at which each timer is due, by label
 	actions        []Action
+	onHandled      func(e Event, examined uint64) // called after each event with the servers that rules examined for it
 }
 
 // newHarness returns a harness whose controller knows some servers.
@@ -82,7 +83,11 @@
 // after its final response or has two of them.
 func (h *harness) handle(e Event) {
 	h.t.Helper()
+	before := h.controller.ServersExamined()
 	actions := append([]Action{}, h.controller.Handle(h.now, e)...)
+	if h.onHandled != nil {
+		h.onHandled(e, h.controller.ServersExamined()-before)
+	}
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Send:
--- a/control/outlier.go
+++ b/control/outlier.go
@@ -21,6 +21,7 @@
 	rejectsPlanUntil    map[*planQueue]time.Duration // by plan: end of the avoidance after a rejection
 	reportedAt          time.Duration                // time at which other nodes reported the server as slow
 	reportedUntil       time.Duration                // time at which that report expires
+	suspectAt           int                          // 1 + position in serverSet.suspects; 0 if not in it
 }
 
 const (
@@ -52,6 +53,7 @@
 		s.ejectionTime = min(max(baseEjectionTime, 2*s.ejectionTime), maxEjectionTime)
 		s.ejectedUntil = d.env.now + s.ejectionTime
 	}
+	d.servers.updateSuspect(s)
 }
 
 // recordSuccess resets the failures and the ejection time of a server after a successful attempt.
@@ -60,6 +62,7 @@
 	s.trialInFlight = false
 	s.ejectionTime = 0
 	d.recordOutcome(s, 0)
+	d.servers.updateSuspect(s)
 }
 
 // recordRejection records that a server rejected an attempt. It is avoided for the plan for some time, as
@@ -76,7 +79,19 @@
 	if d.failureRate(s) > maxFailureRate {
 		d.recordFailure(s, 1)
 	}
+	d.endTrial(s)
+}
+
+// beginTrial records that an attempt at an ejected server tests it.
+func (d *outlierDetector) beginTrial(s *server) {
+	s.trialInFlight = true
+	d.servers.updateSuspect(s)
+}
+
+// endTrial records the end of an attempt that is no evidence for or against a server.
+func (d *outlierDetector) endTrial(s *server) {
 	s.trialInFlight = false
+	d.servers.updateSuspect(s)
 }
 
 // recordOutcome adds an outcome to the average failure rate: 1 for a failure, 0 for a success.
@@ -102,11 +117,13 @@
 	if s == nil {
 		return
 	}
-	if d.env.now >= s.reportedUntil && d.servers.count(d.reportedSlow) >= maxReportedFraction*d.servers.usable {
+	reported := d.servers.countSuspects(d.reportedSlow)
+	if d.env.now >= s.reportedUntil && reported >= maxReportedFraction*d.servers.usable {
 		return
 	}
 	s.reportedAt = d.env.now
 	s.reportedUntil = e.Until
+	d.servers.updateSuspect(s)
 }
 
 // reportedSlow reports whether other nodes' report on a server is in force: it has not expired, and this
@@ -116,13 +133,58 @@
 	return d.env.now < s.reportedUntil && !rebutted
 }
 
+// suspect reports whether a server may be ejected, on trial or reported as slow. A report that has expired
+// counts until the server's next change.
+func (s *server) suspect() bool {
+	return s.consecutiveFailures >= ejectionFailures || s.trialInFlight || s.reportedUntil > 0
+}
+
+// updateSuspect adds a server to the suspects or removes it, by its state. An expired report is dropped.
+func (set *serverSet) updateSuspect(s *server) {
+	if s.reportedUntil <= set.env.now {
+		s.reportedUntil = 0
+	}
+	switch {
+	case !s.suspect():
+		set.removeSuspect(s)
+	case s.suspectAt == 0:
+		set.suspects = append(set.suspects, s)
+		s.suspectAt = len(set.suspects)
+	}
+}
+
+// removeSuspect removes a server from the suspects, if it is one of them.
+func (set *serverSet) removeSuspect(s *server) {
+	if s.suspectAt == 0 {
+		return
+	}
+	last := len(set.suspects) - 1
+	set.suspects[s.suspectAt-1] = set.suspects[last]
+	set.suspects[s.suspectAt-1].suspectAt = s.suspectAt
+	set.suspects[last] = nil
+	set.suspects = set.suspects[:last]
+	s.suspectAt = 0
+}
+
+// countSuspects returns the number of suspects that satisfy a condition.
+func (set *serverSet) countSuspects(condition func(*server) bool) float64 {
+	set.examined += uint64(len(set.suspects))
+	n := 0.0
+	for _, s := range set.suspects {
+		if condition(s) {
+			n++
+		}
+	}
+	return n
+}
+
 // AvoidedServers returns, for the operators' metrics, the number of usable servers that are avoided while
 // there is another: those ejected, with a trial attempt in flight, or reported as slow. A report counts until
-// it expires, even if this node's own observations rebut it. The call changes nothing.
+// it expires, even if this node's own observations rebut it. The call changes no decision.
 func (c *Controller) AvoidedServers(now time.Duration) int {
 	avoided := func(s *server) bool {
 		ejected := s.consecutiveFailures >= ejectionFailures && now < s.ejectedUntil
 		return s.usable() && (s.trialInFlight || ejected || now < s.reportedUntil)
 	}
-	return int(c.servers.count(avoided))
+	return int(c.servers.countSuspects(avoided))
 }
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -28,7 +28,9 @@
 	ceilingUpdatedAt     map[string]time.Duration // by tenant: time of the last update of ceilingLevels
 	rules                *Rules                   // rules in force; nil means that the run never changes rules
 	events               []handledEvent
-	retriesUnderOldRules int // retries under rules that are no longer in force
+	retriesUnderOldRules int                  // retries under rules that are no longer in force
+	servers              uint32               // number of servers in the list
+	afterEvent           func(run *randomRun) // called after each event; nil means no further check
 }
 
 // handledEvent is an event with the time at which the controller handled it.
@@ -61,54 +63,6 @@
 	timesOutAt time.Duration
 }
 
-// randomSettings draws settings with a class of each idempotency and key scope, and four kinds of plans.
-func randomSettings(rng *rand.Rand) Settings {
-	s := Settings{
-		FleetSize:                []int{1, 2, 4, 60, 300, 100000}[rng.IntN(6)],
-		Zone:                     "z1",
-		MaxAttempts:              1 + rng.IntN(5),
-		SendsRetryAfter:          rng.IntN(2) == 0,
-		MaxRetryAfter:            time.Second,
-		SlowStartDuration:        10 * time.Second,
-		SlowStartInitialFraction: 0.2,
-		OverloadWindow:           time.Second,
-		OverloadFactor:           2,
-		ResponsesReportTokens:    rng.IntN(2) == 0,
-		PollDiscovery:            rng.IntN(2) == 0,
-		MaxPollInterval:          10 * time.Second,
-		CanCancel:                rng.IntN(2) == 0,
-		HealthChecks:             rng.IntN(2) == 0,
-		MaxRequestTokens:         4,
-	}
-	if rng.IntN(4) > 0 {
-		s.MeterPeriod = time.Second
-	}
-	for idempotency := Idempotent; idempotency <= NonIdempotent; idempotency++ {
-		for scope := KeyScopeAll; scope <= KeyScopeCell; scope++ {
-			s.Classes = append(s.Classes, Class{
-				Name:              fmt.Sprint("c", idempotency, scope),
-				LatencyObjective:  time.Duration(200+rng.IntN(1500)) * ms,
-				Deadline:          time.Duration(2000+rng.IntN(4000)) * ms,
-				Idempotency:       idempotency,
-				KeyScope:          scope,
-				PriorityWeight:    1,
-				IdempotencyWindow: time.Duration(500+rng.IntN(3000)) * ms,
-				Stream:            rng.IntN(5) == 0,
-			})
-		}
-	}
-	s.Plans = []Plan{
-		{Name: "rate", PriceFactor: 1, Rate: 20, Burst: 40},
-		{Name: "slots", PriceFactor: 0.5, MaxConcurrent: 3},
-		{Name: "both", PriceFactor: 2, Rate: 10, Burst: 10, MaxConcurrent: 4},
-		{
-			Name: "ceiling", PriceFactor: 1.5, Rate: 20, Burst: 20,
-			CeilingRate: 40, CeilingBurst: 40, CeilingOverdraft: 4,
-		},
-	}
-	return s
-}
-
 // handle passes an event to the controller and checks its actions.
 func (run *randomRun) handle(e Event) {
 	run.log = append(run.log, fmt.Sprintf("%v %T", run.now, e))
@@ -137,6 +91,9 @@
 			run.t.Fatalf("unexpected action %T", a)
 		}
 	}
+	if run.afterEvent != nil {
+		run.afterEvent(run)
+	}
 }
 
 // checkSend checks an attempt and counts it.
@@ -210,12 +167,12 @@
 	delete(run.requests, id)
 }
 
-// drawEndpointUpdate returns a complete list of eight servers in a fixed order. Each may be draining, missing
-// or just restarted.
+// drawEndpointUpdate returns a complete list of the servers in a fixed order. Each may be draining, missing or
+// just restarted.
 func (run *randomRun) drawEndpointUpdate() EndpointUpdate {
 	var update EndpointUpdate
 	update.Kind = Complete
-	for id := uint32(1); id <= 8; id++ {
+	for id := uint32(1); id <= run.servers; id++ {
 		server := &Endpoint{Server: id, Zone: fmt.Sprint("z", 1+id%2), Cell: int(id / 3), Size: 1}
 		run.endpoints[id] = server
 		switch run.rng.IntN(6) {
@@ -344,6 +301,16 @@
 // runRandomEvents passes some steps of random events to a controller and returns the run. The controller
 // handles initial first; if the last of them has a version, the run changes rules at random from then on.
 func runRandomEvents(t *testing.T, seed uint64, steps int, initial ...Rules) *randomRun {
+	t.Helper()
+	const servers = 8
+	return runRandomEventsWith(t, servers, nil, seed, steps, initial...)
+}
+
+// runRandomEventsWith is runRandomEvents for a list of some servers. It calls afterEvent, unless that is nil,
+// after each event.
+func runRandomEventsWith(
+	t *testing.T, servers uint32, afterEvent func(*randomRun), seed uint64, steps int, initial ...Rules,
+) *randomRun {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	run := &randomRun{
@@ -356,6 +323,8 @@
 		requests:         map[string]*issuedRequest{},
 		ceilingLevels:    map[string]float64{},
 		ceilingUpdatedAt: map[string]time.Duration{},
+		servers:          servers,
+		afterEvent:       afterEvent,
 	}
 	c, err := New(run.settings, seed)
 	if err != nil {
--- a/control/request.go
+++ b/control/request.go
@@ -31,6 +31,15 @@
 	return r.mayHaveRun && r.class.Idempotency == IdempotentByKey
 }
 
+// dedupScope returns the scope of the servers that drop duplicates of the request, around dedupServer. It
+// returns KeyScopeAll if the request may be sent to any server.
+func (r *request) dedupScope() KeyScope {
+	if r.dedupServer == nil || r.class.Idempotency != IdempotentByKey {
+		return KeyScopeAll
+	}
+	return r.class.KeyScope
+}
+
 // idempotencyWindowEnd returns the time from which servers no longer drop duplicates of the request.
 func (r *request) idempotencyWindowEnd() time.Duration {
 	return r.firstRunAt + r.class.IdempotencyWindow
--- a/control/scheduler.go
+++ b/control/scheduler.go
@@ -1,5 +1,7 @@
 package control
 
+import "slices"
+
 // scheduler queues requests by plan and dispatches them by weighted round robin: each plan receives dispatch
 // slots in proportion to its share.
 type scheduler struct {
@@ -7,6 +9,39 @@
 	balancer *balancer
 	plans    []*planQueue
 	byName   map[string]*planQueue
+	refusals []scopeRefusal // valid during one call of firstDispatchable
+}
+
+// scopeRefusal records that no server of a scope may receive a request of the given tokens now.
+type scopeRefusal struct {
+	scope  KeyScope
+	zone   string
+	cell   int
+	tokens float64
+}
+
+// refusalFor returns the refusal of a request that is bound to the scope of its key.
+func refusalFor(r *request) scopeRefusal {
+	refusal := scopeRefusal{scope: r.dedupScope(), tokens: r.tokens}
+	switch refusal.scope {
+	case KeyScopeZone:
+		refusal.zone = r.dedupServer.Zone
+	case KeyScopeCell:
+		refusal.cell = r.dedupServer.Cell
+	}
+	return refusal
+}
+
+// refused reports whether the scope of a request has refused one of no more tokens in this pass.
+func (s *scheduler) refused(r *request) bool {
+	if len(s.refusals) == 0 || r.dedupServer == nil {
+		return false
+	}
+	wanted := refusalFor(r)
+	return slices.ContainsFunc(s.refusals, func(refusal scopeRefusal) bool {
+		sameScope := refusal.scope == wanted.scope && refusal.zone == wanted.zone && refusal.cell == wanted.cell
+		return sameScope && refusal.tokens <= wanted.tokens
+	})
 }
 
 // planQueue is the queue of a plan and the state of the plan in the round robin.
@@ -71,8 +106,9 @@
 
 // firstDispatchable returns the first request of a plan's queue that can be dispatched now, and its server. A
 // request that waits for a slot of its tenant, or for a server that drops its duplicates, does not block
-// those behind it.
+// those behind it. A scope that has refused a request is not examined again for those behind it.
 func (s *scheduler) firstDispatchable(p *planQueue) (*request, *server) {
+	s.refusals = s.refusals[:0]
 	for _, r := range p.requests {
 		if p.MaxConcurrent > 0 && r.attempts == 0 && !r.tenant.hasFreeSlot(s.env.now) {
 			r.tenant.slotsExhausted = true
@@ -81,12 +117,16 @@
 		if r.hasIdempotencyWindow() && s.env.now >= r.idempotencyWindowEnd() {
 			continue // its timer will end the request
 		}
+		if s.refused(r) {
+			continue
+		}
 		if server := s.balancer.pick(r); server != nil {
 			return r, server
 		}
 		if r.dedupServer == nil {
 			return nil, nil
 		}
+		s.refusals = append(s.refusals, refusalFor(r))
 	}
 	return nil, nil
 }
--- a/control/server.go
+++ b/control/server.go
@@ -1,7 +1,8 @@
 package control
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -21,6 +22,7 @@
 
 	outlierState
 	warmUp
+	index indexEntry
 }
 
 // serverLatencyGain is the gain of a server's average latency.
@@ -56,15 +58,37 @@
 }
 
 // serverSet holds the servers of the endpoint list, and servers that are no longer listed but have attempts
-// in flight.
+// in flight. Its counts and its index follow each change of a server's state, so that no event has to look at
+// all servers.
 type serverSet struct {
 	env            *environment
 	byID           map[uint32]*server
 	ordered        []*server // in the order of Endpoint.Server
-	usable         float64   // number of usable servers as of the last update
+	unordered      bool      // a server was added out of order
+	unlisted       int       // number of servers that are not listed
+	usable         float64   // number of usable servers
 	nodesPerServer float64   // mean number of nodes that send to each server, as of the last update
+	preferring     float64   // preferred fraction of warm servers, as of the last update
+	index          serverIndex
+	suspects       []*server // servers for which suspect is true, in no order
+	examined       uint64    // servers that rules have looked at; see Controller.ServersExamined
 }
 
+func newServerSet(env *environment) serverSet {
+	return serverSet{
+		env:            env,
+		byID:           map[uint32]*server{},
+		nodesPerServer: float64(env.settings.FleetSize),
+		index:          newServerIndex(),
+	}
+}
+
+// warm returns the number of usable servers that are not warming up.
+func (set *serverSet) warm() float64 { return set.usable - float64(len(set.warmingUp())) }
+
+// warmingUp returns the usable servers that are warming up, in no order.
+func (set *serverSet) warmingUp() []*server { return set.index.all.servers[slowStarting] }
+
 // applyUpdate applies an update of the endpoint list. It calls observe with each entry before the entry
 // replaces the server's previous one.
 func (set *serverSet) applyUpdate(update EndpointUpdate, observe func(*server, Endpoint)) {
@@ -72,45 +96,87 @@
 	if !(update.NodesPerServer > 0) {
 		set.nodesPerServer = float64(set.env.settings.FleetSize)
 	}
-	for _, s := range set.ordered {
-		s.listed = s.listed && update.Kind == Delta
+	if update.Kind != Delta {
+		set.examined += uint64(len(set.ordered))
+		for _, s := range set.ordered {
+			set.setEndpoint(s, s.Endpoint, false)
+		}
 	}
 	for _, endpoint := range update.Endpoints {
 		s := set.byID[endpoint.Server]
 		if s == nil {
 			s = newServer()
-			set.byID[endpoint.Server] = s
-			set.ordered = append(set.ordered, s)
+			s.Server = endpoint.Server
+			set.add(s)
 		}
 		observe(s, endpoint)
-		s.Endpoint = endpoint
-		s.listed = endpoint.Condition != Removed
+		set.setEndpoint(s, endpoint, endpoint.Condition != Removed)
 	}
-	sort.Slice(set.ordered, func(i, j int) bool { return set.ordered[i].Server < set.ordered[j].Server })
+	set.examined += uint64(len(update.Endpoints))
+	set.sort()
 	set.prune()
-	set.usable = set.count((*server).usable)
+	set.updatePreferred(update.Endpoints)
+}
+
+// add adds a server that is not listed yet.
+func (set *serverSet) add(s *server) {
+	if n := len(set.ordered); n > 0 && set.ordered[n-1].Server > s.Server {
+		set.unordered = true
+	}
+	set.byID[s.Server] = s
+	set.ordered = append(set.ordered, s)
+	set.unlisted++
+	set.updateSuspect(s)
+}
+
+// setEndpoint replaces the entry of a server and records whether the server is listed.
+func (set *serverSet) setEndpoint(s *server, endpoint Endpoint, listed bool) {
+	if s.usable() {
+		set.usable--
+	}
+	if !s.listed {
+		set.unlisted--
+	}
+	s.Endpoint = endpoint
+	s.listed = listed
+	if !s.listed {
+		set.unlisted++
+	}
+	if s.usable() {
+		set.usable++
+	}
+	set.index.update(s)
+}
+
+// sort restores the order of the servers after one was added out of order.
+func (set *serverSet) sort() {
+	if !set.unordered {
+		return
+	}
+	slices.SortFunc(set.ordered, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
+	set.unordered = false
 }
 
 // prune drops the servers that are no longer listed and have no attempt in flight.
 func (set *serverSet) prune() {
+	if set.unlisted == 0 {
+		return
+	}
+	set.examined += uint64(len(set.ordered))
 	kept := set.ordered[:0]
 	for _, s := range set.ordered {
 		if s.listed || s.inFlight > 0 {
 			kept = append(kept, s)
-		} else {
-			delete(set.byID, s.Server)
+			continue
 		}
+		set.unlisted--
+		delete(set.byID, s.Server)
+		set.removeSuspect(s)
 	}
+	clear(set.ordered[len(kept):])
 	set.ordered = kept
 }
 
-// count returns the number of servers that satisfy a condition.
-func (set *serverSet) count(condition func(*server) bool) float64 {
-	n := 0.0
-	for _, s := range set.ordered {
-		if condition(s) {
-			n++
-		}
-	}
-	return n
-}
+// ServersExamined returns, for the operators' metrics, how often a rule has looked at a server since the start.
+// A number that grows faster than the requests shows work that grows with the list.
+func (c *Controller) ServersExamined() uint64 { return c.servers.examined }
--- a/control/slowstart.go
+++ b/control/slowstart.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
 	"time"
 )
@@ -14,6 +15,7 @@
 	env     *environment
 	servers *serverSet
 	traffic *trafficStats
+	ends    slowStartEnds // ends of the slow starts; one that began anew is superseded
 }
 
 // warmUp is the state of one server's slow start.
@@ -46,17 +48,18 @@
 	maxCatchUpFactor = 1.5
 )
 
-// usableWarmingUp reports whether the server is usable and warming up.
-func (s *server) usableWarmingUp() bool { return s.usable() && s.warmingUp }
-
 // begin begins the slow start of a server if its entry in the endpoint list shows that it has started
 // recently.
 func (w *slowStart) begin(s *server, listed Endpoint) {
 	if !listed.HasStartedAt || w.env.now >= listed.StartedAt+w.env.settings.SlowStartDuration {
 		return
 	}
-	s.warmingUp = true
-	s.warmingSince = max(listed.StartedAt, s.warmingSince)
+	since := max(listed.StartedAt, s.warmingSince)
+	if !s.warmingUp || since != s.warmingSince {
+		s.warmingUp = true
+		s.warmingSince = since
+		w.scheduleEnd(s)
+	}
 	s.tokens = 0
 	s.refilledAt = w.env.now
 	if w.env.largeFleet() { // spreads the first attempts of the nodes over time
@@ -64,6 +67,51 @@
 	}
 }
 
+// scheduleEnd schedules the end of a server's slow start.
+func (w *slowStart) scheduleEnd(s *server) {
+	heap.Push(&w.ends, slowStartEnd{server: s, at: s.warmingSince + w.env.settings.SlowStartDuration})
+}
+
+// endExpired ends the slow starts whose time is over.
+func (w *slowStart) endExpired() {
+	for len(w.ends) > 0 && w.ends[0].at <= w.env.now {
+		end := heap.Pop(&w.ends).(slowStartEnd)
+		s := end.server
+		w.servers.examined++
+		if !s.warmingUp || s.warmingSince+w.env.settings.SlowStartDuration != end.at {
+			continue
+		}
+		s.warmingUp = false
+		s.preferred = w.servers.isPreferred(s)
+		w.servers.index.update(s)
+	}
+}
+
+// slowStartEnd is the end of one server's slow start.
+type slowStartEnd struct {
+	server *server
+	at     time.Duration
+}
+
+// slowStartEnds is a heap of ends, the earliest first; see container/heap.
+type slowStartEnds []slowStartEnd
+
+func (e slowStartEnds) Len() int           { return len(e) }
+func (e slowStartEnds) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e slowStartEnds) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *slowStartEnds) Push(end any) { *e = append(*e, end.(slowStartEnd)) }
+
+// Pop implements heap.Interface.
+func (e *slowStartEnds) Pop() any {
+	last := len(*e) - 1
+	end := (*e)[last]
+	(*e)[last] = slowStartEnd{}
+	*e = (*e)[:last]
+	return end
+}
+
 // warmupFraction returns the fraction of its capacity that a server is assumed to have reached.
 func (w *slowStart) warmupFraction(s *server) float64 {
 	settings := &w.env.settings
@@ -76,17 +124,11 @@
 }
 
 // admits reports whether a request of the given tokens may be sent to a server now. It is always true for a
-// server that is not warming up. It also refills the server's bucket, and ends a slow start whose time is
-// over.
+// server that is not warming up. It also refills the server's bucket.
 func (w *slowStart) admits(s *server, tokens float64) bool {
 	if !s.warmingUp {
 		return true
 	}
-	if w.env.now >= s.warmingSince+w.env.settings.SlowStartDuration {
-		s.warmingUp = false
-		s.preferred = w.servers.isPreferred(s)
-		return true
-	}
 	fraction := w.warmupFraction(s)
 	if float64(s.activeAttempts()+s.abandoned) >= max(1, math.Floor(fraction*maxInFlightWarm)) {
 		return false
@@ -111,8 +153,7 @@
 // observedCapacity returns the tokens per second that a server with the given warm-up fraction bears from
 // this node, by the rate at which warm servers serve this node.
 func (w *slowStart) observedCapacity(fraction float64) float64 {
-	warm := w.servers.count(func(s *server) bool { return s.usable() && !s.warmingUp })
-	return w.env.settings.OverloadFactor * fraction * w.traffic.servedRate / max(1, warm)
+	return w.env.settings.OverloadFactor * fraction * w.traffic.servedRate / max(1, w.servers.warm())
 }
 
 // largeFleetRate returns the tokens per second that a node of a large fleet may send to a server. Each node
--- a/control/slowstartfleet_test.go
+++ b/control/slowstartfleet_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -24,14 +25,18 @@
 	loadFraction              float64       // load as a fraction of the warm servers' capacity
 	fleetSize                 int           // nodes of the fleet, of which some are simulated; 0 means all are
 	nodesPerServer            float64       // as in EndpointUpdate; 0 means the fleet's size
+	serverRate                float64       // requests of mean work per second of a warm server; 0 means warmServerRate
 }
 
-// The capacity of a warm server.
+// The capacity of a warm server, unless a case has another rate.
 const (
 	warmServerRate = 18.0 // requests of mean work per second
 	serverCores    = 3.0
 )
 
+// rate returns the requests of mean work per second of a warm server.
+func (x *warmupCase) rate() float64 { return cmp.Or(x.serverRate, warmServerRate) }
+
 // warmupFleet runs a warmupCase: whole controllers, and servers that process their attempts in order of
 // arrival. The work of a request is exponential with mean 1; its expected tokens are a rough estimate of
 // three times that.
@@ -121,7 +126,7 @@
 		}
 	}
 	for i := range f.controllers {
-		f.scheduleRequests(i, f.loadFraction*warmServerRate*float64(x.servers-x.warmingUp)*loads[i]/totalLoad)
+		f.scheduleRequests(i, f.loadFraction*f.rate()*float64(x.servers-x.warmingUp)*loads[i]/totalLoad)
 	}
 	f.Run()
 	// Requests per second that the settings allow a server in the mean over its warm-up.
@@ -131,7 +136,7 @@
 
 // allowedWork returns the work in an overload window that the settings allow a server that is warming up.
 func (f *warmupFleet) allowedWork(now time.Duration) float64 {
-	return testSettings().OverloadFactor * f.warmupFraction(now) * warmServerRate *
+	return testSettings().OverloadFactor * f.warmupFraction(now) * f.rate() *
 		f.settings.OverloadWindow.Seconds()
 }
 
@@ -193,7 +198,7 @@
 	var n int
 	var work float64
 	_, _ = fmt.Sscan(a.ID, &n, &work)
-	server, rate := int(a.Server)-1, warmServerRate
+	server, rate := int(a.Server)-1, f.rate()
 	if server < f.warmingUp && f.Now < warmupStart+warmupDuration {
 		f.recordArrival(server, work)
 		rate *= f.warmupFraction(f.Now)
