Apply a change of the server list without a walk over the whole list

Each change moved the preferred fraction of a long list a little, so all servers were looked at, and each change with a removed server filtered the list.

Change: the preferred fraction of a list of more than 400 servers follows its length in steps of 20%; the servers that are no longer listed are kept in a set, so that only they are looked at. Shorter lists are decided as before.

--- a/control/longlist_test.go
+++ b/control/longlist_test.go
@@ -11,6 +11,9 @@
 const (
 	usualServers   = 200
 	longestServers = 3200
+
+	updates          = 10                       // in which half of a list is replaced
+	entriesPerUpdate = longestServers / updates // a removed server and an added one for each that is replaced
 )
 
 // longListDay plays requests at one node while half of its list is replaced by servers that are warming up.
@@ -91,7 +94,7 @@
 // play replaces half of the list and returns the mean and the maximum number of servers that rules examined for
 // one event that is not an update of the list, and the mean for one update.
 func (d *longListDay) play() (mean, most, meanOfUpdate float64) {
-	const steps, updates = 200, 10
+	const steps = 200
 	events, sum, updateSum := 0, uint64(0), uint64(0)
 	d.h.onHandled = func(e Event, examined uint64) {
 		if _, ok := e.(EndpointUpdate); ok {
@@ -127,9 +130,8 @@
 			if most > longestServers {
 				t.Errorf("one event examines %.0f servers of %d", most, longestServers)
 			}
-			// An update may look at each server some times, but not at each for each.
-			if update > 4*longestServers {
-				t.Errorf("an update examines %.0f servers of %d", update, longestServers)
+			if update > 4*entriesPerUpdate {
+				t.Errorf("an update of %d entries examines %.0f servers of %d", entriesPerUpdate, update, longestServers)
 			}
 		})
 	}
--- a/control/preferred.go
+++ b/control/preferred.go
@@ -8,9 +8,11 @@
 	// minPreferredServers is the minimum number of servers that a node prefers.
 	minPreferredServers = 7.0
 	// maxPreferredServers and minNodesPerPreferredServer replace nodesPerPreferredServer where the list has more
-	// than maxScannedServers usable servers; see basePreferredFraction.
+	// than maxScannedServers usable servers; see updatePreferredShare. preferredShareStep is the relative
+	// change of its length from which a longer list changes the preferred fraction.
 	maxPreferredServers        = 40.0
 	minNodesPerPreferredServer = 3.0
+	preferredShareStep         = 0.2
 	// warmingPreferredFactor is the factor on the number of nodes that prefer a server while it is warming up:
 	// each of them may send little to it, and some nodes have little traffic.
 	warmingPreferredFactor = 3.0
@@ -32,32 +34,51 @@
 	return fraction < set.preferredFraction(s)
 }
 
+// preferredShare is the fraction of warm servers that this node prefers, and the list for which it was
+// computed.
+type preferredShare struct {
+	fraction       float64
+	usable         float64
+	nodesPerServer float64
+}
+
 // preferredFraction returns the fraction of the nodes that prefer a server. It is also the fraction of such
 // servers that a node prefers.
 func (set *serverSet) preferredFraction(s *server) float64 {
-	fraction := set.basePreferredFraction()
+	fraction := set.preferring.fraction
 	if s.warmingUp {
 		fraction *= warmingPreferredFactor
 	}
 	return min(1, fraction)
 }
 
-// basePreferredFraction returns the preferred fraction of warm servers. Of a long list a node prefers no more
-// than maxPreferredServers, as its connections and what it knows of each server go with its own traffic and
-// not with the list, but each server is preferred by minNodesPerPreferredServer nodes on average.
-func (set *serverSet) basePreferredFraction() float64 {
+// updatePreferredShare computes the preferred fraction after an update and reports whether it has changed. Of
+// a long list a node prefers about maxPreferredServers, as its connections and what it knows of each server
+// go with its own traffic and not with the list, but each server is preferred by minNodesPerPreferredServer
+// nodes on average. The fraction follows the length of a long list in steps, so that few updates change it.
+func (set *serverSet) updatePreferredShare() (changed bool) {
+	old := set.preferring
 	nodes := nodesPerPreferredServer
 	if set.usable > maxScannedServers {
+		drift := math.Abs(set.usable-old.usable) / set.usable
+		wasLong := old.usable > maxScannedServers && old.nodesPerServer == set.nodesPerServer
+		if wasLong && drift < preferredShareStep {
+			return false
+		}
 		nodes = min(nodes, max(minNodesPerPreferredServer, maxPreferredServers*set.nodesPerServer/set.usable))
 	}
-	return max(nodes/set.nodesPerServer, minPreferredServers/max(set.usable, 1))
+	set.preferring = preferredShare{
+		fraction:       max(nodes/set.nodesPerServer, minPreferredServers/max(set.usable, 1)),
+		usable:         set.usable,
+		nodesPerServer: set.nodesPerServer,
+	}
+	return set.preferring.fraction != old.fraction
 }
 
 // updatePreferred determines the preferred servers after an update of the endpoint list: all of them if their
 // fraction has changed, otherwise only the updated ones.
 func (set *serverSet) updatePreferred(updated []Endpoint) {
-	if fraction := set.basePreferredFraction(); fraction != set.preferring {
-		set.preferring = fraction
+	if set.updatePreferredShare() {
 		set.examined += uint64(len(set.ordered))
 		for _, s := range set.ordered {
 			set.setPreferred(s, set.isPreferred(s))
--- a/control/server.go
+++ b/control/server.go
@@ -65,10 +65,10 @@
 	byID           map[uint32]*server
 	ordered        []*server // in the order of Endpoint.Server
 	unordered      bool      // a server was added out of order
-	unlisted       int       // number of servers that are not listed
-	usable         float64   // number of usable servers
-	nodesPerServer float64   // mean number of nodes that send to each server, as of the last update
-	preferring     float64   // preferred fraction of warm servers, as of the last update
+	unlisted       map[*server]struct{}
+	usable         float64 // number of usable servers
+	nodesPerServer float64 // mean number of nodes that send to each server, as of the last update
+	preferring     preferredShare
 	index          serverIndex
 	suspects       []*server // servers for which suspect is true, in no order
 	examined       uint64    // servers that rules have looked at; see Controller.ServersExamined
@@ -78,6 +78,7 @@
 	return serverSet{
 		env:            env,
 		byID:           map[uint32]*server{},
+		unlisted:       map[*server]struct{}{},
 		nodesPerServer: float64(env.settings.FleetSize),
 		index:          newServerIndex(),
 	}
@@ -125,7 +126,7 @@
 	}
 	set.byID[s.Server] = s
 	set.ordered = append(set.ordered, s)
-	set.unlisted++
+	set.unlisted[s] = struct{}{}
 	set.updateSuspect(s)
 }
 
@@ -134,13 +135,12 @@
 	if s.usable() {
 		set.usable--
 	}
-	if !s.listed {
-		set.unlisted--
-	}
 	s.Endpoint = endpoint
 	s.listed = listed
-	if !s.listed {
-		set.unlisted++
+	if s.listed {
+		delete(set.unlisted, s)
+	} else {
+		set.unlisted[s] = struct{}{}
 	}
 	if s.usable() {
 		set.usable++
@@ -159,24 +159,22 @@
 
 // prune drops the servers that are no longer listed and have no attempt in flight.
 func (set *serverSet) prune() {
-	if set.unlisted == 0 {
-		return
-	}
-	set.examined += uint64(len(set.ordered))
-	kept := set.ordered[:0]
-	for _, s := range set.ordered {
-		if s.listed || s.inFlight > 0 {
-			kept = append(kept, s)
+	set.examined += uint64(len(set.unlisted))
+	dropped := 0
+	for s := range set.unlisted {
+		if s.inFlight > 0 {
 			continue
 		}
-		set.unlisted--
+		dropped++
+		delete(set.unlisted, s)
 		delete(set.byID, s.Server)
 		set.removeSuspect(s)
 	}
-	clear(set.ordered[len(kept):])
-	set.ordered = kept
+	if dropped > 0 {
+		set.ordered = slices.DeleteFunc(set.ordered, func(s *server) bool { return set.byID[s.Server] != s })
+	}
 }
 
-// ServersExamined returns, for the operators' metrics, how often a rule has looked at a server since the start.
-// A number that grows faster than the requests shows work that grows with the list.
+// ServersExamined returns, for the operators' metrics, how often a rule has looked at a server since the
+// start. A number that grows faster than the requests shows work that grows with the list.
 func (c *Controller) ServersExamined() uint64 { return c.servers.examined }
--- a/control/serverindex_test.go
+++ b/control/serverindex_test.go
@@ -35,7 +35,7 @@
 		{"usable servers", set.usable, countServers(set, (*server).usable)},
 		{"warm servers", set.warm(), countServers(set, usableWarm)},
 		{"servers that are warming up", float64(len(set.warmingUp())), countServers(set, usableWarmingUp)},
-		{"unlisted servers", float64(set.unlisted), countServers(set, func(s *server) bool { return !s.listed })},
+		{"unlisted servers", float64(len(set.unlisted)), countServers(set, func(s *server) bool { return !s.listed })},
 		{"avoided servers", float64(c.AvoidedServers(run.now)), countServers(set, avoided)},
 		{"minimum of the bound", c.concurrency.minBound(), loopedMinBound(&c.concurrency)},
 		{"servers by ID", float64(len(set.byID)), float64(len(set.ordered))},
