Give a long list from discovery the time that its bytes take

A list of 3,200 entries is some 600 kB; on a slow core or a crowded link it was dropped, asked for again and dropped again, each time with its bytes.

Change: a message has to bring 16 KiB in each 0.5 s and to be complete within 3 s, when the session opens another call beside it. A message under 16 KiB has 0.5 s as before.

Before, TestLongListOnASlowLinkIsAppliedAtOnce (3,200 entries in 1.1 s) failed: the list was not applied within 10 s. Now it is applied by the first call; messages that halt, trickle or never end are dropped as before (TestMessageWithoutProgressIsDropped).

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	maxMessageBytes = 4 << 20                // size of one message
-	messageTimeout  = 500 * time.Millisecond // maximum time from the first byte of a message to its last
+	maxMessageBytes = 4 << 20 // size of one message
+	// A message must bring MinProgressBytes in each ProgressInterval until it is complete, so that a long list has the
+	// time that it takes on a slow link or core, and must be complete within messageTimeout. By then the session has
+	// opened another call beside it.
+	messageTimeout = stallTimeout
 )
 
 // errStalled is the cause with which a call is canceled whose message was not completed in time.
@@ -52,10 +55,8 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reader := &messageReader{body: resp.Body, bytesLeft: maxMessageBytes, heartbeat: func() { emit(event{}) },
-		timer: time.AfterFunc(messageTimeout, func() { cancel(errStalled) })}
-	reader.timer.Stop()
-	defer reader.timer.Stop()
+	reader := newMessageReader(resp.Body, func() { emit(event{}) }, func() { cancel(errStalled) })
+	defer reader.stopTimers()
 	for dec := json.NewDecoder(reader); ; {
 		var u Update
 		if err := dec.Decode(&u); err != nil {
@@ -104,12 +105,27 @@
 // messageReader reads the response body of a watch: JSON objects, on one line or indented, with empty lines between
 // them as heartbeats. It bounds the size of a message and the time that it takes.
 type messageReader struct {
-	body      io.Reader
-	heartbeat func()
-	timer     *time.Timer // runs while a message is incomplete
-	inMessage bool        // a message has begun and is incomplete
-	connEnded bool        // the connection has ended
-	bytesLeft int         // bytes that the message may still take
+	body          io.Reader
+	heartbeat     func()
+	progressTimer *time.Timer // runs until the next MinProgressBytes of an incomplete message have arrived
+	messageTimer  *time.Timer // runs while a message is incomplete
+	inMessage     bool        // a message has begun and is incomplete
+	connEnded     bool        // the connection has ended
+	bytesLeft     int         // bytes that the message may still take
+	sinceProgress int         // bytes of the message since the progress timer was last reset
+}
+
+// newMessageReader returns a reader of body that calls stalled when a message misses a deadline.
+func newMessageReader(body io.Reader, heartbeat, stalled func()) *messageReader {
+	m := &messageReader{body: body, heartbeat: heartbeat, bytesLeft: maxMessageBytes,
+		progressTimer: time.AfterFunc(ProgressInterval, stalled), messageTimer: time.AfterFunc(messageTimeout, stalled)}
+	m.stopTimers()
+	return m
+}
+
+func (m *messageReader) stopTimers() {
+	m.progressTimer.Stop()
+	m.messageTimer.Stop()
 }
 
 // Read reads from the body and calls heartbeat for empty lines between messages. An empty line within a message is
@@ -126,21 +142,32 @@
 		if m.bytesLeft < 0 {
 			return 0, fmt.Errorf("a message exceeds %d bytes", maxMessageBytes)
 		}
+		m.countProgress(n)
 	default:
 		m.heartbeat()
 	}
 	return n, err
 }
 
-// beginMessage records the first n bytes of a message and starts its timer.
+// beginMessage records the first n bytes of a message and starts its timers.
 func (m *messageReader) beginMessage(n int) {
-	m.inMessage, m.bytesLeft = true, maxMessageBytes-n
-	m.timer.Reset(messageTimeout)
+	m.inMessage, m.bytesLeft, m.sinceProgress = true, maxMessageBytes-n, n
+	m.progressTimer.Reset(ProgressInterval)
+	m.messageTimer.Reset(messageTimeout)
+}
+
+// countProgress counts n further bytes of a message, and resets the progress timer when enough of them have arrived.
+func (m *messageReader) countProgress(n int) {
+	m.sinceProgress += n
+	if m.sinceProgress >= MinProgressBytes {
+		m.sinceProgress = 0
+		m.progressTimer.Reset(ProgressInterval)
+	}
 }
 
 // messageCompleted records the end of a message. rest holds the bytes that were read after it.
 func (m *messageReader) messageCompleted(rest []byte) {
-	m.timer.Stop()
+	m.stopTimers()
 	m.inMessage = false
 	if len(bytes.TrimSpace(rest)) > 0 {
 		m.beginMessage(len(rest))
