Complete each request in its time whether or not the event loop is free

Its deadline, its server's response, its client's close and the end of the drain were events for the loop, and post blocked when 256 events waited. An attempt started though its client had left or its time was over, as the loop had not heard of it; and the time left that it told its server was that of the decision and not of the first byte.

Change: a request has a completion, which the first of these wins without waiting for another: the loop, the attempt with a response, the deadline (50 ms after it), the client's disconnect, the end of the drain. From then on no attempt starts. The goroutine that serves the client never blocks on the loop's queue. A request without a response from the loop is rejected if a retry does no harm, else it fails. The time left is written when the connection is open. New: node_unserved_total, node_servers_examined_total, node_loop_slowest_us, node_loop_wait_us, and log lines for slow events, for the loop's longest times and for requests that were completed without it.

--- a/control/classify.go
+++ b/control/classify.go
@@ -74,7 +74,7 @@
 func (c *attemptClassifier) hasShortDeadline(
 	usual *usualTimeLeft, timeLeft time.Duration, class *Class,
 ) bool {
-	sinceAdvised := class.Deadline - timeLeft - c.env.retryAfter()
+	sinceAdvised := class.Deadline - timeLeft - c.env.settings.RetryAfter()
 	longestQueueTime := time.Duration(maxSlotQueueFraction * float64(class.LatencyObjective))
 	if timeLeft > usual.timeLeft || (sinceAdvised >= 0 && sinceAdvised < longestQueueTime+timeLeftTolerance) {
 		return false
--- a/control/environment.go
+++ b/control/environment.go
@@ -23,8 +23,6 @@
 const (
 	// largeFleetNodes is the fleet size from which each node knows little of how busy a server is.
 	largeFleetNodes = 8
-	// retryAfterAdvice is the Retry-After of a rejection, unless the settings limit it to less.
-	retryAfterAdvice = time.Second
 	// epsilon keeps the divisors of quotients above zero.
 	epsilon = 1e-9
 )
@@ -38,11 +36,6 @@
 // largeFleet reports whether the fleet has at least largeFleetNodes nodes.
 func (e *environment) largeFleet() bool { return e.settings.FleetSize >= largeFleetNodes }
 
-// retryAfter returns the Retry-After of a rejection.
-func (e *environment) retryAfter() time.Duration {
-	return min(retryAfterAdvice, e.settings.MaxRetryAfter)
-}
-
 // quotaFraction returns the fraction of the node's quotas that this process may use: half while two processes
 // decide for the node, otherwise 1.
 func (e *environment) quotaFraction() float64 {
--- a/control/settings.go
+++ b/control/settings.go
@@ -89,6 +89,12 @@
 	MaxTenants               int           // tenants above which idle ones are forgotten sooner; 0 means 10000
 }
 
+// retryAfterAdvice is the Retry-After of a rejection, unless the settings limit it to less.
+const retryAfterAdvice = time.Second
+
+// RetryAfter returns the Retry-After of a rejection; 0 means that it has none.
+func (s *Settings) RetryAfter() time.Duration { return min(retryAfterAdvice, s.MaxRetryAfter) }
+
 // maxFleetSize keeps numbers that are computed for the whole fleet from overflowing.
 const maxFleetSize = 1 << 20
 
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"sloestile/control"
@@ -16,8 +18,9 @@
 	sentAt      time.Time
 	cancel      context.CancelCauseFunc
 	timer       *time.Timer // ends the attempt at the client's deadline or its timeout; nil while it has neither
-	start       *startState // nil if the attempt was not handed to upstream
+	streaming   atomic.Bool // the response is streamed: the deadline no longer applies
 	stragglerID uint64      // ID of the attempt in stragglerWatch
+	events      eventSequence
 }
 
 // stop stops the attempt's timer and cancels its context.
@@ -31,10 +34,51 @@
 // startTimer makes the attempt end at the client's deadline, unless it has a timer already.
 func (t *exchangeAttempt) startTimer(deadline time.Time) {
 	if t.timer == nil {
-		t.timer = time.AfterFunc(time.Until(deadline), func() { t.cancel(context.DeadlineExceeded) })
+		t.timer = time.AfterFunc(time.Until(deadline), t.expire)
 	}
 }
 
+// expire ends the attempt at its deadline, unless its response is streamed: the deadline applies to the first bytes
+// only, and streamIdleTimeout limits the rest.
+func (t *exchangeAttempt) expire() {
+	if !t.streaming.Load() {
+		t.cancel(context.DeadlineExceeded)
+	}
+}
+
+// eventSequence posts the events of one attempt to the event loop in their order, without blocking the attempt: neither
+// a response nor a body waits for the loop.
+type eventSequence struct {
+	mu       sync.Mutex
+	previous chan struct{} // closed when the latest event has been posted; nil if there is none
+}
+
+// post posts an event behind those before it.
+func (s *eventSequence) post(l *loop, event func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	previous, posted := s.previous, make(chan struct{})
+	s.previous = posted
+	go func() { // ends when the loop takes the event or has ended
+		defer close(posted)
+		if previous != nil {
+			<-previous
+		}
+		l.post(event)
+	}()
+}
+
+// postLast posts the last event of the attempt. It blocks until the loop takes the event or has ended.
+func (s *eventSequence) postLast(l *loop, event func()) {
+	s.mu.Lock()
+	previous := s.previous
+	s.mu.Unlock()
+	if previous != nil {
+		<-previous
+	}
+	l.post(event)
+}
+
 // send starts an attempt that the decision module requested. If the attempt can't start, the module gets an event with
 // the outcome NeverSent.
 func (l *loop) send(a control.Send) {
@@ -47,22 +91,25 @@
 	x.attempts = append(x.attempts, t)
 	pool := l.pools[a.Server]
 	overLimit := l.maxAttempts > 0 && len(x.attempts) > l.maxAttempts
-	if pool == nil || x.done || ctx.Err() != nil || x.bodyConsumed() || overLimit {
+	outgoing := l.newAttempt(x, t, l.wallTime(a.NotAfter))
+	if pool == nil || ctx.Err() != nil || x.bodyConsumed() || overLimit || !x.completion.addAttempt(&outgoing.start) {
 		t.stop()
 		l.pendingEvents = append(l.pendingEvents, control.AttemptEnded{ID: a.ID, Attempt: t.number, Server: a.Server,
-			Outcome: control.NeverSent, Done: x.done, BodyConsumed: x.bodyConsumed()})
+			Outcome: control.NeverSent, Done: x.completion.isComplete(), BodyConsumed: x.bodyConsumed()})
 		return
 	}
 	x.inFlight++
 	l.recordSend(x, t)
 	t.sentAt = time.Now()
-	outgoing := l.newAttempt(x, t, l.wallTime(a.NotAfter))
-	t.start = &outgoing.start
 	go func() { // returns when ctx ends at the latest
 		o := l.upstream.attempt(ctx, pool, outgoing)
-		if !l.post(func() { l.attemptEnded(x, t, o) }) {
+		latency := time.Since(t.sentAt)
+		answered := o.reason == control.OK && !o.streamed &&
+			x.complete(response{status: http.StatusOK, header: o.header, body: o.body, reservation: o.reservation})
+		if !answered {
 			o.reservation.shrinkTo(0)
 		}
+		t.events.postLast(l, func() { l.attemptEnded(x, t, o, latency, answered) })
 	}()
 }
 
@@ -83,7 +130,7 @@
 		cancel(context.DeadlineExceeded)
 		return ctx, t
 	}
-	t.timer = time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	t.timer = time.AfterFunc(timeout, t.expire)
 	return ctx, t
 }
 
@@ -104,52 +151,40 @@
 	}
 }
 
-// newAttempt returns the attempt to pass to upstream. Its callbacks report to the event loop.
+// newAttempt returns the attempt to pass to upstream. Its callbacks report to the event loop and do not wait for it.
 func (l *loop) newAttempt(x *exchange, t *exchangeAttempt, startDeadline time.Time) *attempt {
+	req, deadline := x.newAttemptRequest(), x.deadline
+	beforeSend := func() { setTimeLeft(req, deadline, x.timeLeft) }
 	onWritten := func() {
 		l.stats.attempts.Add(1)
 		if x.streamedBody != nil {
-			l.post(func() { l.handle(control.BodySent{ID: x.req.ID, Attempt: t.number}) })
+			t.events.post(l, func() { l.handle(control.BodySent{ID: x.req.ID, Attempt: t.number}) })
 		}
 	}
-	onStreamStart := func(o outcome, length int64) (writer *io.PipeWriter) {
-		handled := make(chan struct{})
-		posted := l.post(func() {
-			writer = l.responseStarted(x, t, o, length)
-			close(handled)
-		})
-		if !posted {
-			return nil
-		}
-		select {
-		case <-handled:
-			return writer
-		case <-l.ended:
+	onStreamStart := func(o outcome, length int64) *io.PipeWriter {
+		reader, writer := io.Pipe()
+		t.streaming.Store(true)
+		if !x.complete(response{status: http.StatusOK, header: o.header, body: o.body, stream: reader, length: length}) {
 			return nil
 		}
+		latency := time.Since(t.sentAt)
+		t.events.post(l, func() { l.responseStarted(x, t, o, latency) })
+		return writer
 	}
-	return &attempt{req: x.newAttemptRequest(), bodyPrefix: x.body, bodyStream: x.streamedBody, startDeadline: startDeadline, onWritten: onWritten, onStreamStart: onStreamStart}
+	return &attempt{req: req, bodyPrefix: x.body, bodyStream: x.streamedBody, startDeadline: startDeadline,
+		beforeSend: beforeSend, onWritten: onWritten, onStreamStart: onStreamStart}
 }
 
-// responseStarted makes a streamed response with status 200 the final one. It returns the writer for the rest of the
-// response, or nil if the request already has its final response.
-func (l *loop) responseStarted(x *exchange, t *exchangeAttempt, o outcome, length int64) *io.PipeWriter {
-	if x.done {
-		return nil
-	}
-	if t.timer != nil {
-		t.timer.Stop() // the deadline applies to the first bytes only; streamIdleTimeout limits the rest
-	}
+// responseStarted records that a streamed response has become the final one.
+func (l *loop) responseStarted(x *exchange, t *exchangeAttempt, o outcome, latency time.Duration) {
+	x.done = true
 	l.reportCost(x, o)
-	reader, writer := io.Pipe()
-	x.finish(response{status: http.StatusOK, header: o.header, body: o.body, stream: reader, length: length})
-	l.handle(control.ResponseStarted{ID: x.req.ID, Attempt: t.number, Server: t.server, Latency: time.Since(t.sentAt),
+	l.handle(control.ResponseStarted{ID: x.req.ID, Attempt: t.number, Server: t.server, Latency: latency,
 		Tokens: o.trueCost(l.maxTokens), MeterReading: o.meterReading()})
-	return writer
 }
 
-// attemptEnded applies the outcome of an attempt. The first response with status 200 is the final one.
-func (l *loop) attemptEnded(x *exchange, t *exchangeAttempt, o outcome) {
+// attemptEnded records the outcome of an attempt. answered reports whether its response has become the final one.
+func (l *loop) attemptEnded(x *exchange, t *exchangeAttempt, o outcome, latency time.Duration, answered bool) {
 	t.stop()
 	l.reportCost(x, o)
 	if l.stragglers != nil {
@@ -157,19 +192,14 @@
 	}
 	x.inFlight--
 	x.lastOutcome = o.reason
-	r := control.AttemptEnded{ID: x.req.ID, Attempt: t.number, Server: t.server, Outcome: o.reason, Latency: time.Since(t.sentAt),
-		BodyConsumed: x.bodyConsumed()}
+	x.done = x.done || answered
+	r := control.AttemptEnded{ID: x.req.ID, Attempt: t.number, Server: t.server, Outcome: o.reason, Latency: latency,
+		Done: x.completion.isComplete(), BodyConsumed: x.bodyConsumed()}
 	if o.header != nil && !o.streamed {
 		r.MeterReading = o.meterReading()
 		r.Tokens = o.trueCost(l.maxTokens)
 		r.LoadReport = o.loadReport()
 	}
-	if o.reason == control.OK && !x.done {
-		l.finish(x, response{status: http.StatusOK, header: o.header, body: o.body, reservation: o.reservation})
-	} else {
-		o.reservation.shrinkTo(0)
-	}
-	r.Done = x.done
 	l.release(x)
 	l.handle(r)
 }
--- a/internal/node/clientrequests.go
+++ b/internal/node/clientrequests.go
@@ -128,10 +128,12 @@
 		return newBadRequest(http.StatusBadRequest, "a body with %s", r.Method)
 	}
 	x.streamedBody, x.req.StreamedBody = stream, true
-	stream.onComplete = func() {
+	x.bodyReceived = make(chan time.Time, 1)
+	stream.onComplete = func() { // called once
 		x.markReceived()
 		receivedAt := time.Now()
-		f.loop.post(func() { f.loop.bodyReceived(x, receivedAt) })
+		x.bodyReceived <- receivedAt
+		go f.loop.post(func() { f.loop.bodyReceived(x, receivedAt) }) // ends when the loop takes the event or has ended
 	}
 	return nil
 }
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -92,6 +92,7 @@
 func (n *Node) handleMetrics(w http.ResponseWriter, _ *http.Request) {
 	var text bytes.Buffer
 	n.stats.write(&text)
+	n.stats.writeLoop(&text)
 	if p := n.peers.Load(); p != nil {
 		writePeerMetrics(&text, &p.Counts)
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -171,9 +171,10 @@
 		return n.loop.failure
 	}
 	n.finish(n.drainTimeout - time.Since(begun))
-	stopLoop() // answers open requests with 502
-	<-n.loop.ended
+	close(n.front.stopped) // completes the open requests, also while the loop is busy
+	stopLoop()
 	n.finish(drainWriteTimeout)
+	<-n.loop.ended
 	slog.Info("drained", "took", time.Since(begun).Round(time.Millisecond))
 	return n.loop.failure
 }
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -25,13 +25,15 @@
 	bodyLength      int64           // length of the body in bytes; negative if unknown
 	timeLeft        time.Duration   // client's time limit less responseMargin; it counts from the last byte of the request
 	bodyReservation *reservation    // memory reserved for the body
-	response        chan response   // receives exactly one final response
+	response        chan response   // receives the final response, unless the goroutine that serves the client completed the request itself
+	completion      completion
 	stats           *stats
-	received        atomic.Bool // whether the last byte of the request has been received
+	received        atomic.Bool    // whether the last byte of the request has been received
+	bodyReceived    chan time.Time // receives the time at which the last byte of a streamed body has been received
 
 	// The fields below are owned by the event loop once beginExchange has been called.
 	deadline     time.Time // client's deadline less responseMargin; zero until the last byte has been received
-	done         bool      // whether the request is answered or the client has left
+	done         bool      // whether the loop knows that the request is answered or the client has left
 	attempts     []*exchangeAttempt
 	inFlight     int // number of attempts without an outcome
 	lastOutcome  control.Outcome
@@ -66,26 +68,20 @@
 	return x.streamedBody != nil && x.streamedBody.consumed.Load()
 }
 
-// finish sends the request's final response and cancels the start of attempts that have not been written yet.
-func (x *exchange) finish(resp response) {
-	x.done = true
-	for _, attempt := range x.attempts {
-		if attempt.start != nil {
-			attempt.start.cancel()
-		}
+// complete makes a response the final one and cancels the start of attempts that have not been written yet. It returns
+// false if the request has its final response already or its client has left.
+func (x *exchange) complete(resp response) bool {
+	first, _ := x.completion.end()
+	if first {
+		x.response <- resp
 	}
-	x.response <- resp
+	return first
 }
 
-// newAttemptRequest returns the request for an attempt that is sent now, with the time left until x.deadline.
+// newAttemptRequest returns the request for an attempt, without the header with the time left.
 func (x *exchange) newAttemptRequest() *http.Request {
 	req := *x.upstreamReq
 	req.Header = maps.Clone(req.Header)
-	timeLeft := x.timeLeft
-	if !x.deadline.IsZero() {
-		timeLeft = time.Until(x.deadline)
-	}
-	req.Header.Set(headerTimeLeft, strconv.FormatInt(max(timeLeft.Milliseconds(), 1), 10)+"m")
 	req.ContentLength = x.bodyLength
 	req.Body = http.NoBody
 	switch {
@@ -99,6 +95,15 @@
 	return &req
 }
 
+// setTimeLeft sets the header of a request that is sent now to the time that its client has left. A zero deadline means
+// that the client's time has not begun.
+func setTimeLeft(req *http.Request, deadline time.Time, timeLeft time.Duration) {
+	if !deadline.IsZero() {
+		timeLeft = time.Until(deadline)
+	}
+	req.Header.Set(headerTimeLeft, strconv.FormatInt(max(timeLeft.Milliseconds(), 1), 10)+"m")
+}
+
 // response is the final response to a request. If it is streamed, body has its first bytes.
 type response struct {
 	status      int
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -23,6 +23,9 @@
 	stats     *stats
 	budget    *budget
 
+	retryAfter time.Duration // Retry-After of a rejection
+	stopped    chan struct{} // closed when open requests have to be completed, as the process ends
+
 	ready    atomic.Bool // /healthz responds 503 until this is set
 	draining atomic.Bool // /healthz responds 503 while this is set
 	closing  atomic.Bool // each response closes its connection
@@ -33,6 +36,7 @@
 
 	accepted, evicted, badRequests, clientDisconnects atomic.Int64 // counts since the node started, for the log
 	openConns                                         atomic.Int64 // client connections that are open now
+	unservedLoggedAt                                  atomic.Int64 // time of the last log line of completeUnserved, since the loop's start
 }
 
 // logAttributes returns the counts of client connections as attributes of a log line.
@@ -46,16 +50,18 @@
 
 func newFrontend(s control.Settings, l *loop, sockets *sockets, counts *stats) *frontend {
 	f := &frontend{
-		loop:      l,
-		classes:   make(map[string]control.Class),
-		plans:     make(map[string]bool),
-		fleetSize: s.FleetSize,
-		maxTokens: s.MaxRequestTokens,
-		sockets:   sockets,
-		stats:     counts,
-		budget:    l.upstream.budget,
-		idleSince: make(map[*clientConn]time.Time),
-		newSince:  make(map[*clientConn]time.Time),
+		loop:       l,
+		classes:    make(map[string]control.Class),
+		plans:      make(map[string]bool),
+		fleetSize:  s.FleetSize,
+		maxTokens:  s.MaxRequestTokens,
+		sockets:    sockets,
+		stats:      counts,
+		budget:     l.upstream.budget,
+		retryAfter: s.RetryAfter(),
+		stopped:    make(chan struct{}),
+		idleSince:  make(map[*clientConn]time.Time),
+		newSince:   make(map[*clientConn]time.Time),
 	}
 	for _, k := range s.Classes {
 		f.classes[k.Name] = k
@@ -120,10 +126,9 @@
 	_ = f.write(w, response{status: status})
 }
 
-// respond passes a request to the event loop, waits for its final response and writes it. It returns nil if the client
-// has disconnected or its request was rejected as bad. complete reports whether the response was written in full.
+// respond waits for the final response to a request and writes it. It returns nil if the client has disconnected or its
+// request was rejected as bad. complete reports whether the response was written in full.
 func (f *frontend) respond(w http.ResponseWriter, r *http.Request, x *exchange) (resp *response, complete bool) {
-	f.loop.post(func() { f.loop.beginExchange(x) })
 	final, rejected := f.awaitResponse(r, x)
 	if rejected != nil {
 		f.rejectBadRequest(w, rejected)
@@ -147,12 +152,32 @@
 	return &final, err == nil
 }
 
-// awaitResponse waits for the final response to a request. It returns a badRequest if reading the request body failed
-// before there was a response, and aborts the handler if the client has disconnected.
+// awaitResponse passes a request to the event loop and waits for its final response. It returns a badRequest if reading
+// the request body failed before there was a response, and aborts the handler if the client has disconnected. It does
+// not depend on the loop: whether or not the loop takes the request or handles its events in time, the request is
+// complete shortly after its deadline, at its client's disconnect and at the end of the process.
 func (f *frontend) awaitResponse(r *http.Request, x *exchange) (final response, rejected *badRequest) {
-	for disconnected := r.Context().Done(); final.status == 0; {
+	begin := f.loop.events // nil once the loop has taken the request
+	expiry := time.NewTimer(time.Until(x.deadline) + loopGrace)
+	defer expiry.Stop()
+	if x.deadline.IsZero() { // the client's time begins with the last byte of its body
+		expiry.Stop()
+	}
+	for disconnected := r.Context().Done(); ; {
+		select {
+		case <-f.stopped:
+			return f.completeUnserved(x, begin == nil, reasonStopped), nil
+		default:
+		}
 		select {
+		case begin <- loopEvent{func() { f.loop.beginExchange(x) }, time.Now()}:
+			begin = nil
 		case final = <-x.response:
+			return final, nil
+		case receivedAt := <-x.bodyReceived:
+			expiry.Reset(time.Until(receivedAt.Add(x.timeLeft)) + loopGrace)
+		case <-expiry.C:
+			return f.completeUnserved(x, begin == nil, reasonExpired), nil
 		case <-disconnected:
 			// net/http cancels the context after any failed read, so the client may still be connected. A failed
 			// read of the body is reported by bodyFailed, or the read was stopped because the final response is there.
@@ -163,37 +188,36 @@
 				continue
 			}
 			f.clientDisconnects.Add(1)
-			f.loop.post(func() { f.loop.clientGone(x) })
-			f.finalResponse(x).discard()
+			if final, first := f.abandon(x, begin == nil); !first {
+				final.discard()
+			}
 			// Without the panic net/http would write a response of its own, and a client that only half-closed the
 			// connection could take it for a server's response.
 			panic(http.ErrAbortHandler)
 		case <-x.bodyFailed():
-			f.loop.post(func() { f.loop.clientGone(x) })
-			final = f.finalResponse(x)
-			if final.status == 0 {
+			final, first := f.abandon(x, begin == nil)
+			if first {
 				return final, x.streamedBody.badRequest()
 			}
+			return final, nil
+		case <-f.stopped: // handled by the next round
 		case <-f.loop.ended:
-			final = f.finalResponse(x)
+			return f.completeUnserved(x, begin == nil, reasonStopped), nil
 		}
 	}
-	return final, nil
 }
 
-// finalResponse returns the final response to a request: 502 if the loop has ended without one.
-func (f *frontend) finalResponse(x *exchange) response {
-	select {
-	case resp := <-x.response:
-		return resp
-	case <-f.loop.ended:
-	}
-	select {
-	case resp := <-x.response:
-		return resp
-	default:
-		return response{status: http.StatusBadGateway}
+// abandon completes a request without a response and tells the loop, if the loop has begun it. first is false if the
+// request has a final response already, which abandon returns.
+func (f *frontend) abandon(x *exchange, begun bool) (final response, first bool) {
+	first, _ = x.completion.end()
+	if !first {
+		final = <-x.response
+	}
+	if begun {
+		go f.loop.post(func() { f.loop.abandon(x) }) // ends when the loop takes the event or has ended
 	}
+	return final, first
 }
 
 // rejectBadRequest responds with the error to a bad request and closes the connection.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -31,12 +31,14 @@
 
 	attemptCtx     context.Context // context of all attempts; ends with run
 	cancelAttempts context.CancelFunc
-	events         chan func()
+	events         chan loopEvent
 	ended          chan struct{} // closed when run has ended
 	failure        error         // cause if the decision module panicked; set before ended is closed
 
 	controller    *control.Controller
-	pendingEvents []control.Event      // events that the execution of actions has caused
+	pendingEvents []control.Event // events that the execution of actions has caused
+	latestEvent   control.Event   // event that the decision module has handled last
+	times         loopTimes
 	exchanges     map[string]*exchange // by request ID
 
 	// The endpoint list, and the state per server.
@@ -71,7 +73,7 @@
 		stats:          metrics,
 		attemptCtx:     attemptCtx,
 		cancelAttempts: cancelAttempts,
-		events:         make(chan func(), maxQueuedEvents),
+		events:         make(chan loopEvent, maxQueuedEvents),
 		ended:          make(chan struct{}),
 		controller:     controller,
 		exchanges:      make(map[string]*exchange),
@@ -109,7 +111,7 @@
 // ended, and the function is not called then. Nor is a queued function called if the loop ends first.
 func (l *loop) post(event func()) bool {
 	select {
-	case l.events <- event:
+	case l.events <- loopEvent{event, time.Now()}:
 		return true
 	case <-l.ended:
 		return false
@@ -137,7 +139,7 @@
 		case <-ctx.Done():
 			return
 		case event := <-l.events:
-			event()
+			l.times.measure(event, &l.latestEvent)
 		case <-publish.C: // select chooses at random, so this case is reached under load too
 			l.publish()
 		}
@@ -150,6 +152,8 @@
 	l.stats.avoided.Store(int64(l.controller.AvoidedServers(l.now())))
 }
 
+	l.stats.examined.Store(int64(l.controller.ServersExamined()))
+	l.times.publish(l.stats)
 // handle passes an event to the decision module and executes the actions that it returns. It then handles the events
 // that these actions caused.
 func (l *loop) handle(e control.Event) {
@@ -159,6 +163,7 @@
 		l.pendingEvents = l.pendingEvents[1:]
 		for _, a := range l.controller.Handle(l.now(), e) {
 			l.execute(a)
+		l.latestEvent = e
 		}
 	}
 }
@@ -195,7 +200,10 @@
 // open.
 func (l *loop) beginExchange(x *exchange) {
 	if l.exchanges[x.req.ID] != nil {
-		x.response <- response{status: http.StatusConflict}
+		x.complete(response{status: http.StatusConflict})
+	if x.completion.isComplete() {
+		return
+	}
 		return
 	}
 	l.exchanges[x.req.ID] = x
@@ -222,13 +230,15 @@
 	}
 }
 
-// clientGone handles the loss of the client's connection. Attempts that have been written continue: canceling them
-// would not stop the server's work, and the decision module still uses their outcomes.
-func (l *loop) clientGone(x *exchange) {
+// abandon handles a request that was completed by the goroutine that serves its client: the client has left, or its
+// time was over. Attempts that have been written continue: canceling them would not stop the server's work, and the
+// decision module still uses their outcomes.
+func (l *loop) abandon(x *exchange) {
 	if x.done {
 		return
 	}
-	l.finish(x, response{})
+	x.done = true
+	l.release(x)
 	l.handle(control.ClientGone{ID: x.req.ID})
 }
 
@@ -239,11 +249,10 @@
 	}
 }
 
-// finish sends a request's final response if none was sent, and releases the request.
+// finish makes a response the final one if the request has none, and releases the request.
 func (l *loop) finish(x *exchange, resp response) {
-	if !x.done {
-		x.finish(resp)
-	}
+	x.done = true
+	x.complete(resp)
 	l.release(x)
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -23,6 +23,10 @@
 	inflight   atomic.Int64 // requests received and not yet ended
 	listed     atomic.Int64 // servers in the list
 	avoided    atomic.Int64 // listed servers that the decision module avoids
+	unserved   atomic.Int64 // requests completed without the event loop
+	examined   atomic.Int64 // servers that the decision module's rules have looked at
+	slowestUS  atomic.Int64 // longest event of the loop in the last interval, in microseconds
+	longestUS  atomic.Int64 // longest wait of an event for the loop in the last interval, in microseconds
 }
 
 // classStats counts the results of one class's requests.
@@ -66,15 +70,33 @@
 			fmt.Fprintf(w, "%s{tier=%q} %d\n", m.name, name, m.counter(s.byClass[name]).Load())
 		}
 	}
-	for _, m := range []struct {
-		name, kind, help string
-		value            *atomic.Int64
-	}{
+	writeMetrics(w, []metric{
 		{"node_backend_calls_total", "counter", "Attempts written whole to rating servers.", &s.attempts},
 		{"node_inflight", "gauge", "Requests taken and not ended.", &s.inflight},
 		{"node_hosts_listed", "gauge", "Rating servers in the list.", &s.listed},
 		{"node_hosts_down", "gauge", "Listed rating servers that are avoided now.", &s.avoided},
-	} {
+	})
+}
+
+// writeLoop writes the metrics of the event loop in the Prometheus text format.
+func (s *stats) writeLoop(w io.Writer) {
+	writeMetrics(w, []metric{
+		{"node_unserved_total", "counter", "Requests completed without the event loop: at their deadline, or as the process ended.", &s.unserved},
+		{"node_servers_examined_total", "counter", "Servers that the decisions have looked at.", &s.examined},
+		{"node_loop_slowest_us", "gauge", "Longest event of the event loop in the last interval of 5 s, in microseconds.", &s.slowestUS},
+		{"node_loop_wait_us", "gauge", "Longest wait of an event for the event loop in the last interval of 5 s, in microseconds.", &s.longestUS},
+	})
+}
+
+// metric is a metric without labels.
+type metric struct {
+	name, kind, help string
+	value            *atomic.Int64
+}
+
+// writeMetrics writes metrics without labels.
+func writeMetrics(w io.Writer, metrics []metric) {
+	for _, m := range metrics {
 		writeMetric(w, m.name, m.kind, m.help, m.value)
 	}
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -28,6 +28,7 @@
 	start         startState
 	startDeadline time.Time // time from which the attempt must not start; zero means no limit
 	req           *http.Request
+	beforeSend    func()      // called when the connection is open, to set the header that depends on the time; nil means none
 	bodyPrefix    []byte      // buffered start of a streamed body, sent before bodyStream
 	bodyStream    *clientBody // unread rest of a streamed body; nil if the body is not streamed
 	onWritten     func()      // called when the last byte of the request has been written
@@ -54,8 +55,11 @@
 // tryStart reports whether the attempt may be written. It returns true at most once.
 func (s *startState) tryStart() bool { return s.state.CompareAndSwap(startPending, startDone) }
 
-// cancel keeps an attempt from starting. It has no effect on one that has started.
-func (s *startState) cancel() { s.state.CompareAndSwap(startPending, startCanceled) }
+// cancel keeps an attempt from starting. It has no effect on one that has started, and returns false then.
+func (s *startState) cancel() bool {
+	s.state.CompareAndSwap(startPending, startCanceled)
+	return s.state.Load() == startCanceled
+}
 
 // upstream sends requests to servers, one at a time on a connection, and never retries on its own. net/http's Transport
 // would retry, and does not report whether the last byte of a request was written.
@@ -102,6 +106,9 @@
 		u.put(p, c)
 		return outcome{reason: control.NeverSent, err: errAttemptCanceled}
 	}
+	if a.beforeSend != nil {
+		a.beforeSend()
+	}
 	c.responses.start(ctx)
 	// A server that neither reads nor writes must not block the attempt: reads and writes fail when ctx ends.
 	keepDeadlines := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
