Go on accepting after errors of accept that pass

Found while looking for the class of many-servers in related code: an error of accept other than EMFILE, ENFILE and EINTR (ENOBUFS, ENOMEM, EPROTO, a network error that accept passes on) ended net/http's Serve, and with it the node or its console. A start failed on one ENOBUFS. A look for unread bytes that a signal interrupted counted as none.

Before, TestAcceptGoesOnAfterErrors and TestConsoleGoesOnAfterErrors failed (ENOBUFS ended the node). Connects that fail with EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, ENFILE, EHOSTUNREACH and ETIMEDOUT passed before too (TestRequestsEndWhileConnectFails).

--- a/internal/node/clientconns.go
+++ b/internal/node/clientconns.go
@@ -162,11 +162,9 @@
 		waitErr := c.rawConn.Read(func(fd uintptr) bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			for retry := true; retry; retry = err == syscall.EINTR {
-				n, err = syscall.Read(int(fd), p)
-			}
+			n, err = ignoringEINTR(func() (int, error) { return syscall.Read(int(fd), p) })
 			switch {
-			case err == syscall.EAGAIN:
+			case errors.Is(err, syscall.EAGAIN):
 				return false
 			case err == nil && n > 0 && c.closedForWriting:
 				c.discardedBytes += n
@@ -304,7 +302,10 @@
 	unread := false
 	_ = c.rawConn.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := ignoringEINTR(func() (int, error) {
+			n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return n, err
+		})
 		unread = err == nil && n > 0
 	})
 	return unread
--- a/internal/node/console.go
+++ b/internal/node/console.go
@@ -31,7 +31,7 @@
 
 // newConsole returns a console that listens on an address. Calls are answered once run is called.
 func newConsole(addr string, n *Node) (*console, error) {
-	tcp, err := net.Listen("tcp", addr)
+	tcp, err := listenRetrying(addr)
 	if err != nil {
 		return nil, &ListenError{"operators", addr, err}
 	}
@@ -122,8 +122,9 @@
 // accepts a new one, so that clients that never finish a call cannot lock operators out.
 type boundedListener struct {
 	net.Listener
-	mu   sync.Mutex
-	open map[*boundedConn]time.Time // time at which each connection was accepted
+	retry acceptRetry
+	mu    sync.Mutex
+	open  map[*boundedConn]time.Time // time at which each connection was accepted
 }
 
 // boundedConn is a connection of a boundedListener. Close removes it from the listener's open connections.
@@ -132,8 +133,19 @@
 	listener *boundedListener
 }
 
+// acceptRetrying accepts a connection. It goes on after any error but the end of the listener.
+func (l *boundedListener) acceptRetrying() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		l.retry.wait(context.Background(), err)
+	}
+}
+
 func (l *boundedListener) Accept() (net.Conn, error) {
-	tcp, err := l.Listener.Accept()
+	tcp, err := l.acceptRetrying()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,7 @@
 		upstream:         upstreamSide,
 		stats:            metrics,
 		discoveryAddress: cfg.Discovery,
-		listener:         &countedListener{listener, ctx, sockets},
+		listener:         &countedListener{Listener: listener, ctx: ctx, sockets: sockets},
 		stopListening:    cancel,
 		inherited:        inherited,
 		drainTimeout:     computeDrainTimeout(cfg.Settings.Classes),
--- a/internal/node/serverconns.go
+++ b/internal/node/serverconns.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -138,8 +139,8 @@
 	quiet := false
 	err := c.rawConn.Control(func(fd uintptr) {
 		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		quiet = err == syscall.EAGAIN
+		_, err := ignoringEINTR(func() (int, error) { return syscall.Read(int(fd), b[:]) })
+		quiet = errors.Is(err, syscall.EAGAIN)
 	})
 	return err == nil && quiet
 }
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -42,7 +42,7 @@
 // *ListenError.
 func listen(cfg config.Config) (l net.Listener, inherited bool, err error) {
 	if cfg.SocketFD == 0 {
-		if l, err = net.Listen("tcp", cfg.Listen); err != nil {
+		if l, err = listenRetrying(cfg.Listen); err != nil {
 			return nil, false, &ListenError{"clients", cfg.Listen, err}
 		}
 		return l, false, nil
@@ -135,21 +135,36 @@
 	net.Listener
 	ctx     context.Context // context of waiting for a descriptor
 	sockets *sockets
+	retry   acceptRetry
 }
 
+// Accept accepts a connection. An error other than the end of the listener concerns one connection, or a shortage that
+// passes (accept(2)): the listener waits and goes on, as net/http would end the server after some of them.
 func (l *countedListener) Accept() (net.Conn, error) {
-	if err := l.sockets.awaitDescriptor(l.ctx, l.sockets.serverReserve); err != nil {
-		return nil, err
+	for {
+		if err := l.sockets.awaitDescriptor(l.ctx, l.sockets.serverReserve); err != nil {
+			return nil, err
+		}
+		client, err := l.acceptClient()
+		if err == nil {
+			return client, nil
+		}
+		l.sockets.openConns.Add(-1)
+		if errors.Is(err, net.ErrClosed) || !l.retry.wait(l.ctx, err) {
+			return nil, err
+		}
 	}
+}
+
+// acceptClient accepts one connection, for which a descriptor is reserved.
+func (l *countedListener) acceptClient() (*clientConn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		l.sockets.openConns.Add(-1)
 		return nil, err
 	}
 	setSocketBuffers(c)
 	client, err := newClientConn(c.(*net.TCPConn), l.sockets)
 	if err != nil {
-		l.sockets.openConns.Add(-1)
 		_ = c.Close()
 		return nil, err
 	}
