Wait at a drain until every accepted connection is counted

Cause: finish stopped waiting when no connection was counted, also where one had been accepted and not counted yet. Change: finish first waits until net/http accepts no more, as each connection is counted by then.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -210,7 +210,13 @@
 	n.front.closing.Store(true)
 	poll := time.NewTicker(drainPollInterval)
 	defer poll.Stop()
-	for over := time.After(within); n.front.openConns.Load() > 0; {
+	over := time.After(within)
+	select {
+	case <-n.serveEnded: // an accepted connection is counted from then on
+	case <-over:
+		return
+	}
+	for n.front.openConns.Load() > 0 {
 		n.front.closeIdle()
 		select {
 		case <-poll.C:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 
 	listener      net.Listener
 	stopListening context.CancelFunc
+	serveEnded    chan struct{} // closed when no connection is accepted any more
 	inherited     bool          // the listening socket is inherited: another process may accept on it too
 	drainTimeout  time.Duration // maximum duration of a drain
 	readyTimeout  time.Duration
@@ -73,6 +74,7 @@
 		discoveryAddress: cfg.Discovery,
 		listener:         &countedListener{Listener: listener, ctx: ctx, sockets: sockets},
 		stopListening:    cancel,
+		serveEnded:       make(chan struct{}),
 		inherited:        inherited,
 		drainTimeout:     computeDrainTimeout(cfg.Settings.Classes),
 		readyTimeout:     readyTimeout,
@@ -250,7 +252,10 @@
 	running.Go(func() { n.logCounts(runCtx) })
 	server := n.front.server()
 	served := make(chan error, 1)
-	running.Go(func() { served <- server.Serve(n.listener) })
+	running.Go(func() {
+		defer close(n.serveEnded)
+		served <- server.Serve(n.listener)
+	})
 	slog.Info("serving", "listen", n.Addr())
 	return served
 }
