Walk only connections and health checks that a node has, not the whole list

Change: upstream keeps the set of pools with idle connections, and a pool knows that it is retired. Of more than 400 available servers a node checks 40 at most, and ranks each once. TestRemovedServersAreForgotten counts the pools of the loop, as before, and those with idle connections.

--- a/internal/node/degradeddiscovery.go
+++ b/internal/node/degradeddiscovery.go
@@ -16,6 +16,8 @@
 	healthCheckInterval   = 4 * time.Second // interval of health checks; a node must know of a drain within 6 s
 	minCheckedServers     = 8               // minimum number of servers that a node checks
 	nodesPerCheckedServer = 10              // average number of nodes that check each server, beyond that minimum
+	longListServers       = 400             // number of available servers beyond which maxCheckedServers applies
+	maxCheckedServers     = 40              // maximum number of servers of a long list that a node checks
 )
 
 // degradedDiscovery keeps new requests away from draining servers while discovery is degraded, that is, answers without
@@ -94,22 +96,37 @@
 }
 
 // serversToCheck returns the servers that this node checks. Their number is such that on average nodesPerCheckedServer
-// nodes check each server, and at least minCheckedServers. A hash of the node index and the UID selects them.
+// nodes check each server, and at least minCheckedServers, but of a long list at most maxCheckedServers. A hash of the
+// node index and the UID selects them.
 func (d *degradedDiscovery) serversToCheck() []discovery.Target {
-	var all []discovery.Target
+	type rankedTarget struct {
+		discovery.Target
+		rank uint64
+	}
+	var ranked []rankedTarget
 	for _, t := range d.loop.endpoints {
 		if t.Status() == discovery.Available {
-			all = append(all, t)
+			ranked = append(ranked, rankedTarget{t, d.rank(t.UID)})
 		}
 	}
-	rank := func(t discovery.Target) uint64 {
-		h := fnv.New64a()
-		h.Write([]byte{byte(d.nodeIndex), byte(d.nodeIndex >> 8)})
-		h.Write([]byte(t.UID))
-		return h.Sum64()
+	slices.SortFunc(ranked, func(a, b rankedTarget) int { return cmp.Compare(a.rank, b.rank) })
+	count := max(minCheckedServers, nodesPerCheckedServer*len(ranked)/max(1, d.fleetSize))
+	if len(ranked) > longListServers {
+		count = min(count, maxCheckedServers)
+	}
+	var chosen []discovery.Target
+	for _, r := range ranked[:min(len(ranked), count)] {
+		chosen = append(chosen, r.Target)
 	}
-	slices.SortFunc(all, func(a, b discovery.Target) int { return cmp.Compare(rank(a), rank(b)) })
-	return all[:min(len(all), max(minCheckedServers, nodesPerCheckedServer*len(all)/max(1, d.fleetSize)))]
+	return chosen
+}
+
+// rank returns the hash by which this node chooses the servers that it checks.
+func (d *degradedDiscovery) rank(uid string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte{byte(d.nodeIndex), byte(d.nodeIndex >> 8)})
+	h.Write([]byte(uid))
+	return h.Sum64()
 }
 
 // drainUnhealthy reports servers to the decision module as draining that have not passed a health check while discovery
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -105,8 +105,8 @@
 		r.updateList(up)
 	}
 	r.waitUntil("no server listed", func() bool { return len(r.node.loop.serverIDs) == 0 && len(r.node.loop.pools) == 0 })
-	if len(seen) != 50 || len(r.node.upstream.pools) != 0 || len(idleConns(r.node.upstream)) != 0 {
-		t.Errorf("%d IDs assigned, %d pools and %d connections left", len(seen), len(r.node.upstream.pools), len(idleConns(r.node.upstream)))
+	if len(seen) != 50 || len(r.node.upstream.idlePools) != 0 || len(idleConns(r.node.upstream)) != 0 {
+		t.Errorf("%d IDs assigned, %d pools and %d connections left", len(seen), len(r.node.upstream.idlePools), len(idleConns(r.node.upstream)))
 	}
 }
 
--- a/internal/node/serverconns.go
+++ b/internal/node/serverconns.go
@@ -36,7 +36,7 @@
 func (u *upstream) logAttributes() []any {
 	n := 0
 	u.mu.Lock()
-	for p := range u.pools {
+	for p := range u.idlePools {
 		n += len(p.idle)
 	}
 	u.mu.Unlock()
@@ -50,6 +50,7 @@
 type pool struct {
 	endpoint string
 	idle     []*serverConn // ordered by last use, the most recent last; nil once the pool is retired
+	retired  bool          // connections are closed when they are returned
 }
 
 // serverConn is a connection to a server.
@@ -64,19 +65,14 @@
 }
 
 // newPool returns a new pool of connections to an address.
-func (u *upstream) newPool(endpoint string) *pool {
-	p := &pool{endpoint: endpoint}
-	u.mu.Lock()
-	u.pools[p] = struct{}{}
-	u.mu.Unlock()
-	return p
-}
+func (u *upstream) newPool(endpoint string) *pool { return &pool{endpoint: endpoint} }
 
 // retire closes a pool's idle connections; those in use are closed when they are returned.
 func (u *upstream) retire(p *pool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.pools, p)
+	p.retired = true
+	delete(u.idlePools, p)
 	for _, c := range p.idle {
 		_ = c.Close()
 	}
@@ -152,7 +148,7 @@
 	now := time.Now()
 	for i, c := range slices.Backward(p.idle) {
 		if !now.Before(c.reusableAt) {
-			p.idle = slices.Delete(p.idle, i, i+1)
+			u.setIdle(p, slices.Delete(p.idle, i, i+1))
 			return c
 		}
 	}
@@ -167,11 +163,22 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	// The bound keeps the sum over all nodes within the connections that a server accepts.
-	if _, ok := u.pools[p]; !ok || len(p.idle) >= u.maxIdlePerServer {
+	if p.retired || len(p.idle) >= u.maxIdlePerServer {
 		_ = c.Close()
 		return
 	}
-	p.idle = append(p.idle, c)
+	u.setIdle(p, append(p.idle, c))
+}
+
+// setIdle sets the idle connections of a pool. Only pools with idle connections are walked, however many servers are
+// listed. The caller must hold u.mu.
+func (u *upstream) setIdle(p *pool, idle []*serverConn) {
+	p.idle = idle
+	if len(idle) > 0 {
+		u.idlePools[p] = struct{}{}
+	} else {
+		delete(u.idlePools, p)
+	}
 }
 
 // sweep closes idle connections that are too old or that the server has closed, until ctx ends.
@@ -192,7 +199,7 @@
 func (u *upstream) closeIdleWhere(matches func(*serverConn) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for p := range u.pools {
+	for p := range u.idlePools {
 		remaining := p.idle[:0]
 		for _, c := range p.idle {
 			if matches(c) {
@@ -202,7 +209,7 @@
 			}
 		}
 		clear(p.idle[len(remaining):])
-		p.idle = remaining
+		u.setIdle(p, remaining)
 	}
 }
 
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -71,8 +71,8 @@
 	sockets          *sockets
 	budget           *budget
 
-	mu    sync.Mutex
-	pools map[*pool]struct{} // pools that are not retired
+	mu        sync.Mutex
+	idlePools map[*pool]struct{} // pools with idle connections
 
 	counts connCounts
 }
@@ -86,7 +86,7 @@
 		maxIdleAge:       time.Duration(idleKeepaliveFraction * float64(keepalive)),
 		sockets:          s,
 		budget:           b,
-		pools:            make(map[*pool]struct{}),
+		idlePools:        make(map[*pool]struct{}),
 	}
 	s.evictServer = u.evict
 	return u
