Convert starts of servers by the clock that fits them; apply deltas by their entries

Two faults in how an update of the list is applied, in the same lines. A delta walked the IDs of all listed servers; now only a complete list does. A server's start is Unix time. After a step of the wall clock by an hour a server that had just started looked warm, and got the load of a warm one (rule failback), or one hour from the future, and stayed in slow start for that hour. Now its age by the node's own clock and by the stepped one are compared and the shorter one that is not negative counts; a start in the future counts as now, once.

What is left: a process that starts after its own clock was stepped forward takes servers for warm (docs/open.md).

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -20,14 +20,14 @@
 	return control.Draining
 }
 
-// toEndpoint converts a target to the decision module's type. id is the ID that this node assigned to the server. A
-// node assigns IDs in the order in which it first sees servers; the hash key is the same at all nodes.
-func toEndpoint(t *discovery.Target, id uint32) control.Endpoint {
+// toEndpoint converts a target to the decision module's type. id is the ID that this node assigned to the server, and
+// startedAt the server's start on the decision module's clock. A node assigns IDs in the order in which it first sees
+// servers; the hash key is the same at all nodes.
+func toEndpoint(t *discovery.Target, id uint32, startedAt time.Duration) control.Endpoint {
 	key := fnv.New32a()
 	_, _ = io.WriteString(key, t.UID)
 	return control.Endpoint{Server: id, HashKey: key.Sum32(), Condition: toCondition(t.Status()), Zone: t.Zone, Cell: t.Group,
-		Flavor: t.Model, Size: t.Capacity, HasStartedAt: t.BootMS > 0,
-		StartedAt: time.Duration(t.BootMS * float64(time.Millisecond))}
+		Flavor: t.Model, Size: t.Capacity, HasStartedAt: t.BootMS > 0, StartedAt: startedAt}
 }
 
 // retirePool closes the connections to a server. replace creates a new pool, as the server stays in use.
@@ -58,39 +58,61 @@
 // updatePools applies an update to the pools and the features that use the list, and removes the state of servers that
 // are no longer listed. It returns the event for the decision module.
 func (l *loop) updatePools(kind control.UpdateKind, update discovery.Update) control.EndpointUpdate {
-	event := control.EndpointUpdate{Kind: kind, NodesPerServer: l.nodesPerServer}
-	listed := make(map[string]bool)
+	event := control.EndpointUpdate{Kind: kind, NodesPerServer: l.nodesPerServer, Endpoints: make([]control.Endpoint, 0, len(update.Targets))}
+	before := l.serverIDs
+	if kind != control.Delta { // what a complete list does not name is gone
+		l.serverIDs = make(map[string]uint32, len(update.Targets))
+	}
 	for i := range update.Targets {
 		t := &update.Targets[i]
-		endpoint := toEndpoint(t, l.serverID(t.UID))
+		endpoint := toEndpoint(t, l.serverID(t.UID, before), l.serverStart(t))
 		l.notifyEndpoint(endpoint.Server, t)
 		event.Endpoints = append(event.Endpoints, endpoint)
-		listed[t.UID] = endpoint.Condition != control.Removed
-		if p := l.pools[endpoint.Server]; p != nil && (endpoint.Condition != control.Active || p.endpoint != t.Endpoint) {
-			l.retirePool(endpoint.Server, false)
-		}
-		if endpoint.Condition == control.Active && l.pools[endpoint.Server] == nil {
-			l.pools[endpoint.Server] = l.upstream.newPool(t.Endpoint)
+		l.updatePool(endpoint, t)
+		if endpoint.Condition == control.Removed {
+			l.forgetServer(t.UID, endpoint.Server)
 		}
 	}
-	for uid, id := range l.serverIDs {
-		if isListed, present := listed[uid]; (present && !isListed) || (!present && kind != control.Delta) {
-			l.retirePool(id, false)
-			delete(l.serverIDs, uid)
-			l.notifyEndpoint(id, nil)
+	if kind != control.Delta {
+		for uid, id := range before {
+			if _, listed := l.serverIDs[uid]; !listed {
+				l.forgetServer(uid, id)
+			}
 		}
 	}
 	return event
 }
 
-// serverID returns the ID of a server. It assigns a new ID if the server is not listed yet.
-func (l *loop) serverID(uid string) uint32 {
+// updatePool brings the pool of a server in line with its entry in the list: only available servers have one.
+func (l *loop) updatePool(endpoint control.Endpoint, t *discovery.Target) {
+	if p := l.pools[endpoint.Server]; p != nil && (endpoint.Condition != control.Active || p.endpoint != t.Endpoint) {
+		l.retirePool(endpoint.Server, false)
+	}
+	if endpoint.Condition == control.Active && l.pools[endpoint.Server] == nil {
+		l.pools[endpoint.Server] = l.upstream.newPool(t.Endpoint)
+	}
+}
+
+// forgetServer removes the state of a server that is no longer listed.
+func (l *loop) forgetServer(uid string, id uint32) {
+	l.retirePool(id, false)
+	delete(l.serverIDs, uid)
+	delete(l.serverStarts, uid)
+	l.notifyEndpoint(id, nil)
+}
+
+// serverID returns the ID of a server. before holds the IDs of the list before the update. It assigns a new ID if the
+// server was not listed.
+func (l *loop) serverID(uid string, before map[string]uint32) uint32 {
 	id, ok := l.serverIDs[uid]
+	if !ok {
+		id, ok = before[uid]
+	}
 	if !ok {
 		l.lastServerID++
 		id = l.lastServerID
-		l.serverIDs[uid] = id
 	}
+	l.serverIDs[uid] = id
 	return id
 }
 
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -113,10 +113,10 @@
 // The hash key of a server must not depend on the order in which a node sees servers.
 func TestHashKeyIsTheSameAtAllNodes(t *testing.T) {
 	a, b := discovery.Target{UID: "s-1", State: "up"}, discovery.Target{UID: "s-2", State: "up"}
-	if here, there := toEndpoint(&a, 1), toEndpoint(&a, 2); here.HashKey != there.HashKey || here.HashKey == 0 || here.Server == there.Server {
+	if here, there := toEndpoint(&a, 1, 0), toEndpoint(&a, 2, 0); here.HashKey != there.HashKey || here.HashKey == 0 || here.Server == there.Server {
 		t.Errorf("endpoints of the same target: %+v and %+v", here, there)
 	}
-	if toEndpoint(&a, 1).HashKey == toEndpoint(&b, 1).HashKey {
+	if toEndpoint(&a, 1, 0).HashKey == toEndpoint(&b, 1, 0).HashKey {
 		t.Error("two servers have the same hash key")
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -43,6 +43,7 @@
 
 	// The endpoint list, and the state per server.
 	serverIDs      map[string]uint32           // IDs of the listed servers, by UID
+	serverStarts   map[string]serverStart      // starts of the listed servers that report one, by UID
 	lastServerID   uint32                      // highest assigned ID; IDs are never reused
 	endpoints      map[string]discovery.Target // entries of the endpoint list, by UID
 	listRevision   int64                       // revision of the endpoint list
@@ -78,6 +79,7 @@
 		controller:     controller,
 		exchanges:      make(map[string]*exchange),
 		serverIDs:      make(map[string]uint32),
+		serverStarts:   make(map[string]serverStart),
 		endpoints:      make(map[string]discovery.Target),
 		pools:          make(map[uint32]*pool),
 	}, nil
@@ -150,10 +152,10 @@
 func (l *loop) publish() {
 	l.stats.listed.Store(int64(len(l.serverIDs)))
 	l.stats.avoided.Store(int64(l.controller.AvoidedServers(l.now())))
-}
-
 	l.stats.examined.Store(int64(l.controller.ServersExamined()))
 	l.times.publish(l.stats)
+}
+
 // handle passes an event to the decision module and executes the actions that it returns. It then handles the events
 // that these actions caused.
 func (l *loop) handle(e control.Event) {
@@ -161,9 +163,9 @@
 	for len(l.pendingEvents) > 0 {
 		e := l.pendingEvents[0]
 		l.pendingEvents = l.pendingEvents[1:]
+		l.latestEvent = e
 		for _, a := range l.controller.Handle(l.now(), e) {
 			l.execute(a)
-		l.latestEvent = e
 		}
 	}
 }
@@ -199,11 +201,11 @@
 // beginExchange passes a new request to the decision module. It answers 409 if a request with the same ID is still
 // open.
 func (l *loop) beginExchange(x *exchange) {
-	if l.exchanges[x.req.ID] != nil {
-		x.complete(response{status: http.StatusConflict})
 	if x.completion.isComplete() {
 		return
 	}
+	if l.exchanges[x.req.ID] != nil {
+		x.complete(response{status: http.StatusConflict})
 		return
 	}
 	l.exchanges[x.req.ID] = x
