--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -37,6 +37,7 @@
 type cli struct {
 	Run     runCmd     `cmd:"" help:"Play one seed of a scenario and judge it."`
 	Compare compareCmd `cmd:"" help:"Play two sides in turn on the same seeds."`
+	Growth  growthCmd  `cmd:"" help:"Play a scenario with its servers and with the usual number, and compare what a node needs with the limits."`
 	Virtual virtualCmd `cmd:"" help:"Play a scenario's tries in virtual time against ways to share quotas."`
 	Work    workCmd    `cmd:"" help:"Play machines that are taken out for work in virtual time, against the best order found."`
 	Scale   scaleCmd   `cmd:"" help:"Measure how each cost grows with the size of the fleet, against the target's budget."`
--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -33,24 +33,31 @@
 	out    sync.WaitGroup
 }
 
+// scheduleAhead is how long before its time a send is scheduled by a timer of its own, so that no send waits for what
+// becomes of those before.
+const scheduleAhead = 100 * time.Millisecond
+
 // Run sends each arrival at its time, whatever has become of those before, and returns when all
 // have ended or ctx has.
 func (c *Clients) Run(ctx context.Context) {
+	defer c.out.Wait()
 	for i := range c.Day.Arrivals {
 		a := &c.Day.Arrivals[i]
-		if wait := a.At - c.Clock(); wait > 0 {
+		if wait := a.At - scheduleAhead - c.Clock(); wait > 0 {
 			select {
 			case <-time.After(wait):
 			case <-ctx.Done():
-				c.out.Wait()
 				return
 			}
 		}
-		late := c.Clock() - a.At
-		c.Book.With(func() { c.Book.Late = append(c.Book.Late, late) })
-		c.out.Go(func() { c.request(ctx, i) })
+		c.out.Add(1)
+		time.AfterFunc(a.At-c.Clock(), func() {
+			defer c.out.Done()
+			late := c.Clock() - a.At
+			c.Book.With(func() { c.Book.Late = append(c.Book.Late, late) })
+			c.request(ctx, i)
+		})
 	}
-	c.out.Wait()
 }
 
 // request is one request with all its tries.
--- a/internal/testbed/faults.go
+++ b/internal/testbed/faults.go
@@ -27,6 +27,8 @@
 		p.signal(e, syscall.SIGSTOP)
 		p.wait(ctx, e.For)
 		p.signal(e, syscall.SIGCONT)
+	case "throttle":
+		p.throttle(ctx, e)
 	case "slow", "errors", "pause", "shared":
 		p.trouble(ctx, e)
 	case "crash":
--- a/internal/testbed/judge/judge.go
+++ b/internal/testbed/judge/judge.go
@@ -33,6 +33,7 @@
 	Count   map[string]int
 	Void    string // why the play does not count; "" is that it does
 	Figures Figures
+	Means   NodeMeans
 	Series  []Second
 	// What was served beside what the late-seeing policy serves; NoReference says why there is none.
 	Parts       []Part
@@ -60,6 +61,7 @@
 		j.restarts()
 		j.rest()
 		j.price()
+		v.Means = nodeMeans(d, b)
 	})
 	return v
 }
--- a/internal/testbed/lab.go
+++ b/internal/testbed/lab.go
@@ -118,6 +118,9 @@
 			p.book.Opened += path.Opened.Load()
 		}
 	}
+	for _, path := range p.tells {
+		p.book.ListBytes += path.Down.Load()
+	}
 	return judge.Judge(d, p.book), nil
 }
 
--- a/internal/testbed/node.go
+++ b/internal/testbed/node.go
@@ -256,7 +256,7 @@
 		cold = max(cold, float64(s.Cold.Milliseconds()))
 	}
 	return map[string]any{
-		"self-index": n.index, "group-size": len(d.Nodes), "zone": d.Zones[n.Zone].Name, "azs": zones, "discovery": mode,
+		"self-index": n.index * d.Group() / len(d.Nodes), "group-size": d.Group(), "zone": d.Zones[n.Zone].Name, "azs": zones, "discovery": mode,
 		"family": "gate", "granularity": 2.0, "stage": 0, "stages": []string{"rating-fleet"}, "kinds": []string{"std-3core"},
 		"weight-source": "rough", "classes": classes, "tariffs": tariffs, "clients": map[string]any{"marks-retry": false},
 		"contract": map[string]any{"ask-within": 10000.0, "cold": cold, "cold-from": coldFrom, "drain-grace": f.Rules.DrainGraceMS,
@@ -273,17 +273,23 @@
 	}
 }
 
+// The largest day that a machine plays, by the addresses of a play.
+const (
+	mostNodes   = 250
+	mostServers = 6000 // all of the day, those of a release among them
+)
+
 // holds tells whether this machine has the descriptors that a day needs at once.
 func holds(d *scenario.Day) error {
 	var have syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &have); err != nil {
 		return err
 	}
-	if most := 250; len(d.Nodes) > most || len(d.Servers) > 2*most {
-		return fmt.Errorf("%s has %d nodes and %d servers, a machine plays %d and %d", d.Name, len(d.Nodes), len(d.Servers), most, 2*most)
+	if len(d.Nodes) > mostNodes || len(d.Servers) > mostServers {
+		return fmt.Errorf("%s has %d nodes and %d servers, a machine plays %d and %d", d.Name, len(d.Nodes), len(d.Servers), mostNodes, mostServers)
 	}
 	rate := float64(len(d.Arrivals)) / d.Length.Seconds()
-	need := len(d.Nodes)*len(d.Servers) + 8*len(d.Nodes) + 4*int(rate) + 200
+	need := len(d.Nodes)*d.MostServersAtOnce() + 8*len(d.Nodes) + 4*int(rate) + 200 // each pair has a listener
 	if d.File.On.Peers {
 		need += 3 * len(d.Nodes) * len(d.Nodes)
 	}
--- a/internal/testbed/record/record.go
+++ b/internal/testbed/record/record.go
@@ -97,26 +97,27 @@
 
 // Book holds the records of one play. It is safe for concurrent use.
 type Book struct {
-	mu       sync.Mutex
-	tries    map[string]*Try
-	Order    []*Try
-	Strays   []string // ids that came to a server and from no client
-	Fallen   []Fall   // servers pushed over while cold, in order
-	Samples  []Sample
-	Crashes  []string        // what ended or broke a limit unasked
-	Improper []time.Duration // how long improper peers waited for an error or a close
-	Told     map[Pair][]Told
-	Silent   map[int][]time.Duration // when the open watches of a node fell silent
-	Answered map[int][]time.Duration // when its agent answered a new call
-	Moved    map[int][]time.Duration // when its agent moved, and SIGHUP came
-	Late     []time.Duration         // of each send of the generator against its time
-	Views    []View
-	Talk     int64 // bytes that nodes sent each other
-	Probes   int
-	Opened   int64 // connections to rating servers that came up
-	Runs     []Run
-	Cuts     map[Pair][]*Span
-	Undone   int // steps that nodes' disks lost at the end of their power
+	mu        sync.Mutex
+	tries     map[string]*Try
+	Order     []*Try
+	Strays    []string // ids that came to a server and from no client
+	Fallen    []Fall   // servers pushed over while cold, in order
+	Samples   []Sample
+	Crashes   []string        // what ended or broke a limit unasked
+	Improper  []time.Duration // how long improper peers waited for an error or a close
+	Told      map[Pair][]Told
+	Silent    map[int][]time.Duration // when the open watches of a node fell silent
+	Answered  map[int][]time.Duration // when its agent answered a new call
+	Moved     map[int][]time.Duration // when its agent moved, and SIGHUP came
+	Late      []time.Duration         // of each send of the generator against its time
+	Views     []View
+	Talk      int64 // bytes that nodes sent each other
+	Probes    int
+	Opened    int64 // connections to rating servers that came up
+	ListBytes int64 // bytes that discovery sent to all nodes
+	Runs      []Run
+	Cuts      map[Pair][]*Span
+	Undone    int // steps that nodes' disks lost at the end of their power
 }
 
 // Front is the index of the node's clients, in place of a server's.
--- a/internal/testbed/scenario/check.go
+++ b/internal/testbed/scenario/check.go
@@ -8,34 +8,35 @@
 
 // kinds are the faults that can be named, with what each needs beyond its time.
 var kinds = map[string]struct{ share, size, span bool }{
-	"kill":    {share: true},             // SIGKILL of nodes; they start anew after for_s
-	"stop":    {share: true, span: true}, // SIGSTOP, then SIGCONT
-	"restart": {share: true},             // SIGTERM of some nodes each each_s until share is through
-	"slow":    {share: true, size: true, span: true},
-	"errors":  {share: true, size: true, span: true},
-	"pause":   {share: true, span: true},
-	"crash":   {share: true},                         // servers die; back cold after for_s
-	"zone":    {span: true},                          // servers of a zone vanish, back cold
-	"split":   {span: true},                          // a zone is cut off from the others
-	"oneway":  {span: true},                          // from a zone requests go out, answers do not come
-	"delay":   {size: true, span: true},              // links to a zone take size ms longer
-	"loss":    {size: true, span: true},              // part of the packets of links to a zone is lost
-	"reset":   {share: true},                         // open connections to some servers are reset
-	"replace": {share: true, span: true},             // servers drain and new ones come, over for_s
-	"dark":    {span: true},                          // discovery is silent
-	"full":    {span: true},                          // discovery turns calls away and ends open watches
-	"silent":  {},                                    // open watches of discovery say nothing more; new ones are answered
-	"spoilt":  {span: true},                          // discovery sends what is no list
-	"move":    {},                                    // discovery moves; nodes get SIGHUP
-	"counter": {span: true},                          // the counter is gone, back empty
-	"burst":   {size: true, span: true},              // everybody asks size times as much
-	"shared":  {size: true, span: true},              // all servers are slower by size
-	"drop":    {share: true, span: true},             // links lose all, or size of their connections and packets: silent or reset
-	"stall":   {share: true, span: true},             // links take bytes and keep them; all come at the end
-	"trickle": {share: true, size: true, span: true}, // links let size bytes a second through
-	"lag":     {share: true, size: true, span: true}, // links take size ms longer, one way
-	"disk":    {share: true, span: true},             // nodes' disks fail, as how says; size is a part, 1 if not given
-	"power":   {share: true},                         // SIGKILL, and the disk loses what was not on it; nodes start anew after for_s
+	"kill":     {share: true},                         // SIGKILL of nodes; they start anew after for_s
+	"stop":     {share: true, span: true},             // SIGSTOP, then SIGCONT
+	"throttle": {share: true, size: true, span: true}, // nodes run for a part of the time, size, each by a phase of its own
+	"restart":  {share: true},                         // SIGTERM of some nodes each each_s until share is through
+	"slow":     {share: true, size: true, span: true},
+	"errors":   {share: true, size: true, span: true},
+	"pause":    {share: true, span: true},
+	"crash":    {share: true},                         // servers die; back cold after for_s
+	"zone":     {span: true},                          // servers of a zone vanish, back cold
+	"split":    {span: true},                          // a zone is cut off from the others
+	"oneway":   {span: true},                          // from a zone requests go out, answers do not come
+	"delay":    {size: true, span: true},              // links to a zone take size ms longer
+	"loss":     {size: true, span: true},              // part of the packets of links to a zone is lost
+	"reset":    {share: true},                         // open connections to some servers are reset
+	"replace":  {share: true, span: true},             // servers drain and new ones come, over for_s
+	"dark":     {span: true},                          // discovery is silent
+	"full":     {span: true},                          // discovery turns calls away and ends open watches
+	"silent":   {},                                    // open watches of discovery say nothing more; new ones are answered
+	"spoilt":   {span: true},                          // discovery sends what is no list
+	"move":     {},                                    // discovery moves; nodes get SIGHUP
+	"counter":  {span: true},                          // the counter is gone, back empty
+	"burst":    {size: true, span: true},              // everybody asks size times as much
+	"shared":   {size: true, span: true},              // all servers are slower by size
+	"drop":     {share: true, span: true},             // links lose all, or size of their connections and packets: silent or reset
+	"stall":    {share: true, span: true},             // links take bytes and keep them; all come at the end
+	"trickle":  {share: true, size: true, span: true}, // links let size bytes a second through
+	"lag":      {share: true, size: true, span: true}, // links take size ms longer, one way
+	"disk":     {share: true, span: true},             // nodes' disks fail, as how says; size is a part, 1 if not given
+	"power":    {share: true},                         // SIGKILL, and the disk loses what was not on it; nodes start anew after for_s
 }
 
 // hows are the ways in which a disk fails, and what it loses at the end of its power.
@@ -61,7 +62,7 @@
 		return errors.New("reset: what drops alone has it")
 	case !slices.Contains([]string{"", "out", "in"}, x.Direction):
 		return fmt.Errorf("direction: %q is neither out nor in", x.Direction)
-	case (x.Kind == "drop" || x.How == "erring" || x.How == "turned") && x.Size.Hi > 1:
+	case (x.Kind == "drop" || x.Kind == "throttle" || x.How == "erring" || x.How == "turned") && x.Size.Hi > 1:
 		return fmt.Errorf("size: %v is no part", x.Size)
 	case x.How == "older" && x.Size.Lo < 1:
 		return errors.New("size: at least one sync is gone back")
@@ -80,7 +81,7 @@
 
 // takesNodes tells whether a fault's targets are nodes.
 func takesNodes(kind string) bool {
-	return slices.Contains([]string{"kill", "stop", "restart", "disk", "power", "drop", "stall", "trickle", "lag"}, kind)
+	return slices.Contains([]string{"kill", "stop", "throttle", "restart", "disk", "power", "drop", "stall", "trickle", "lag"}, kind)
 }
 
 // Disks tells whether disks fail in a scenario, so that the program is to be built for it.
--- a/internal/testbed/scenario/fleet.go
+++ b/internal/testbed/scenario/fleet.go
@@ -1,9 +1,11 @@
 package scenario
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -89,3 +91,28 @@
 	}
 	return sum
 }
+
+// MostServersAtOnce returns how many servers of the day run at once at most.
+func (d *Day) MostServersAtOnce() int {
+	type change struct {
+		at    time.Duration
+		count int
+	}
+	var changes []change
+	for _, s := range d.Servers {
+		changes = append(changes, change{s.From, 1})
+		if s.Gone > 0 {
+			changes = append(changes, change{s.Gone, -1})
+		}
+	}
+	slices.SortFunc(changes, func(a, b change) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.count, b.count)) })
+	running, most := 0, 0
+	for _, c := range changes {
+		running += c.count
+		most = max(most, running)
+	}
+	return most
+}
+
+// Group returns the number of nodes of the fleet, of which the day may play some only.
+func (d *Day) Group() int { return max(len(d.Nodes), d.File.Fleet.Group) }
--- a/internal/testbed/scenario/scenario.go
+++ b/internal/testbed/scenario/scenario.go
@@ -52,6 +52,7 @@
 	MemoryMB                       int `toml:"memory_mb"`
 	Sockets                        int
 	KnownLateS                     float64 `toml:"known_late_s"` // age of the list that a node starts with
+	Group                          int     // nodes of the fleet of which the day plays some; 0 is those that it plays
 }
 
 // Server is what rating servers are drawn from.
--- a/internal/testbed/scenario/timetable.go
+++ b/internal/testbed/scenario/timetable.go
@@ -28,7 +28,7 @@
 			return some(len(d.Nodes))
 		}
 		switch x.Kind {
-		case "kill", "stop":
+		case "kill", "stop", "throttle":
 			e.Targets = nodes()
 		case "disk", "power":
 			if x.Same > 0 {
