Catch SIGTERM until the process has ended

Cause: main gave the signals back to the system before it returned, so a further SIGTERM in the last moments ended the process by the signal, which a platform counts as a crash. Change: the signals stay caught.

--- a/cmd/edgenode/main.go
+++ b/cmd/edgenode/main.go
@@ -25,8 +25,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	ctx := terminationContext()
 	// The default action of SIGHUP ends the program, so it is caught at all times, also while the node starts or
 	// drains.
 	hup := make(chan os.Signal, 1)
@@ -49,6 +48,19 @@
 	}
 }
 
+// terminationContext returns a context that ends at the first SIGTERM or interrupt. The signals stay caught until the
+// process has ended: the default action of a further one would end the process with its requests, or with a failure.
+func terminationContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return ctx
+}
+
 // checkFleetFile validates a fleet file without starting a node and returns the exit code.
 func checkFleetFile(path string) int {
 	if _, err := config.LoadFleet(path); err != nil {
--- a/cmd/edgenode/main_test.go
+++ b/cmd/edgenode/main_test.go
@@ -98,6 +98,36 @@
 	}
 }
 
+// Guards against a signal in the last moments of the process that ends it with a failure: of a series of signals that goes
+// on until the process has ended, only the first one counts.
+func TestSignalsUntilTheEndDoNotFailTheProcess(t *testing.T) {
+	raw, err := os.ReadFile(testConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(config, []byte(strings.ReplaceAll(string(raw), "7500.0", "100.0")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(server.Close)
+	discovery := startDiscovery(t, "s-1", server).Listener.Addr().String()
+	for range 12 {
+		p := startProgram(t, config, discovery)
+		ended := make(chan error, 1)
+		go func() { ended <- p.Wait() }()
+		for stop := false; !stop; time.Sleep(50 * time.Microsecond) {
+			_ = p.Process.Signal(syscall.SIGTERM)
+			select {
+			case err := <-ended:
+				stop = true
+				assert.NoError(t, err)
+			default:
+			}
+		}
+	}
+}
+
 // At SIGHUP the program uses the discovery address of the changed file, not that of the environment, and keeps the
 // request in flight. An invalid file changes nothing.
 func TestSIGHUPReloadsConfiguration(t *testing.T) {
