--- a/internal/testbed/change.go
+++ b/internal/testbed/change.go
@@ -31,7 +31,7 @@
 	p.mu.Unlock()
 	for i, n := range p.day.Nodes {
 		p.book.Changed(record.Pair{Node: i, Server: server}, at, state)
-		p.after(ctx, notice+n.Late, func() {
+		p.after(ctx, p.versionAt(at+notice+n.Late)-at, func() {
 			p.mu.Lock()
 			newest := rev == p.revs[server]
 			p.mu.Unlock()
@@ -42,6 +42,15 @@
 	}
 }
 
+// versionAt returns the time of the version of the list that takes in a change of which discovery knows at a time.
+func (p *play) versionAt(known time.Duration) time.Duration {
+	each := time.Duration(p.day.File.Discovery.EachS * float64(time.Second))
+	if each <= 0 {
+		return known
+	}
+	return (known + each - 1).Truncate(each)
+}
+
 // notes enter what becomes of a node's list.
 func (p *play) notes(node int) discovery.Notes {
 	return discovery.Notes{
--- a/internal/testbed/scenario/scenario.go
+++ b/internal/testbed/scenario/scenario.go
@@ -121,10 +121,11 @@
 
 // Discovery is how late the list is told.
 type Discovery struct {
-	Asked   bool  // lists are asked for, not pushed
-	NoticeS Range `toml:"notice_s"` // from a change of a server to the list
-	AddS    Range `toml:"add_s"`
-	NodeMS  Range `toml:"node_ms"` // further lateness, by node
+	Asked   bool    // lists are asked for, not pushed
+	NoticeS Range   `toml:"notice_s"` // from a change of a server to the list
+	AddS    Range   `toml:"add_s"`
+	NodeMS  Range   `toml:"node_ms"` // further lateness, by node
+	EachS   float64 `toml:"each_s"`  // between two versions of the list, which take in all changes until then; 0 is a version for each change
 }
 
 // Counter is the shared counter service; a rate of zero is none.
