Tell a request that crosses the end of a resting connection from one that was read

The node had closed its side of a resting connection, as the drain does from 0.8 s on, before the request came; it discards what comes then, and never forwards it.

The node logs such closes, the judge names node, time and attempts of a lost request.

--- a/internal/node/clientconns.go
+++ b/internal/node/clientconns.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -287,9 +288,22 @@
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	_, _ = c.receive(buffer[:], func([]byte) {})
+	c.logDiscarded()
 	return c.countedConn.Close()
 }
 
+// logDiscarded logs that bytes were discarded because they came when the connection was closed for writing already, such
+// as a request that crossed the end of an idle connection.
+func (c *clientConn) logDiscarded() {
+	c.mu.Lock()
+	n, requestStarted := c.discardedBytes, c.requestStarted
+	c.mu.Unlock()
+	if n > 0 {
+		slog.Info("closed a connection over bytes that came after its end", "client", c.RemoteAddr(), "bytes", n,
+			"in_request", requestStarted, "total", c.sockets.discarded.Add(1))
+	}
+}
+
 // isClosing reports whether the connection is closed for writing.
 func (c *clientConn) isClosing() bool {
 	c.mu.Lock()
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -29,6 +29,8 @@
 	reserved  int64       // descriptors for other uses
 	shared    atomic.Bool // another process uses half of the descriptors
 
+	discarded atomic.Int64 // connections closed over bytes that came after their end, for the log
+
 	waits atomic.Int64 // times that accepting a client had to wait for a descriptor, for the log
 
 	// evictClient and evictServer close one idle connection and report whether they did. evictServer does so only if
--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -159,7 +159,7 @@
 	}
 	if _, err := cn.in.Peek(1); err != nil {
 		over.Do(func() {})
-		unread := cn.unread(err)
+		unread := cn.WroteAfterEnd() || cn.unread(err)
 		_ = cn.Close()
 		if unheard != record.Open {
 			c.ended(t, unheard, 0)
--- a/internal/testbed/faultlink/conn.go
+++ b/internal/testbed/faultlink/conn.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -18,6 +19,29 @@
 	luck   float64 // by which a part of the connections is drawn
 	done   chan struct{}
 	once   sync.Once
+	after  atomic.Bool // the latest write was made after the other end had closed its side
+}
+
+// WroteAfterEnd tells whether the other end had closed its side before the latest write was made: it can't
+// have taken these bytes for what it still answers.
+func (c *Conn) WroteAfterEnd() bool { return c.after.Load() }
+
+// otherEnded tells whether the other end has closed its side and all that it sent has been read.
+func (c *Conn) otherEnded() (ended bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil
+	})
+	return ended
 }
 
 func (p *Path) wrap(c net.Conn, dialed bool) *Conn {
@@ -75,6 +99,7 @@
 		if !c.pass(c.dialed) {
 			return sent, net.ErrClosed
 		}
+		c.after.Store(c.otherEnded())
 		n, err = c.Conn.Write(b[:n])
 		c.count(c.dialed, n)
 		sent, b = sent+n, b[n:]
--- a/internal/testbed/judge/judge.go
+++ b/internal/testbed/judge/judge.go
@@ -84,7 +84,8 @@
 		case closedNew(t):
 			closed++
 		case t.End == record.Broken:
-			j.v.broke("lost", "%s: its connection ended at %v with no whole answer", t.ID, t.Ended)
+			j.v.broke("lost", "%s: its connection ended at %v with no whole answer; sent to node %d at %v, fresh %v, kept %v, %d attempts",
+				t.ID, t.Ended, t.Node, t.Sent, t.Fresh, t.Kept, len(t.Attempts))
 		case t.End == record.Answered && t.Status == 200 && !t.Genuine:
 			j.v.broke("lost", "%s: served with what no server made", t.ID)
 		case said && j.day.File.Rules.RetryAfter && !t.Advice:
