Plant the scan of all servers in the scale test itself, as decisions no longer scan

Now the recording's events pass through a handler that reckons a cost of each of all servers for each request.

--- a/internal/testbed/scale/request/known.go
+++ b/internal/testbed/scale/request/known.go
@@ -13,8 +13,9 @@
 	chosen  []subset.Server
 	// apply takes changed entries and gives what the controller is told; any is false where they do not
 	// concern the node.
-	apply func(delta []subset.Server) (told control.EndpointUpdate, any bool, err error)
-	held  any // what the node holds of the list beside its controller
+	apply  func(delta []subset.Server) (told control.EndpointUpdate, any bool, err error)
+	held   any     // what the node holds of the list beside its controller
+	handle handler // that its controller is told by; nil is the controller's Handle
 }
 
 // choice is how a node makes its known servers of a list. group is the number of nodes.
--- a/internal/testbed/scale/request/planted_test.go
+++ b/internal/testbed/scale/request/planted_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"sloestile/control"
 	"sloestile/fleet/subset"
 	"sloestile/internal/discovery"
 	"sloestile/internal/testbed/scale"
@@ -37,18 +40,32 @@
 	assert.True(t, quick(t, subsetSweep(subsetOf)).Passed())
 }
 
-// scanned hands the controller all servers behind the subset, so that each request scans them.
+// scanned reckons the cost of all servers behind the subset for each request, as a choice among all of them does.
 func scanned(all []subset.Server, group int) (*known, error) {
 	k, err := subsetOf(all, group)
 	if err != nil {
 		return nil, err
 	}
-	whole, err := wholeList(all, group)
-	if err != nil {
-		return nil, err
+	random := rand.New(rand.NewPCG(1, 1))
+	k.handle = func(c *control.Controller, at time.Duration, e control.Event) {
+		if _, ok := e.(control.Request); ok && cheapest(all, random) < 0 {
+			return
+		}
+		c.Handle(at, e)
+	}
+	return k, nil
+}
+
+// cheapest returns the index of the available server with the least cost: its capacity's, which decays, with a jitter.
+func cheapest(all []subset.Server, random *rand.Rand) int {
+	best, least := -1, math.Inf(1)
+	for i := range all {
+		cost := (1 + math.Exp(-all[i].Capacity)) * (1 + random.Float64())
+		if all[i].State == subset.Available && cost < least {
+			best, least = i, cost
+		}
 	}
-	whole.held = []any{k.held, whole.held}
-	return whole, nil
+	return best
 }
 
 func TestScanOfAllServersFailsTheQuickForm(t *testing.T) {
--- a/internal/testbed/scale/request/recording.go
+++ b/internal/testbed/scale/request/recording.go
@@ -17,8 +17,12 @@
 	seed     uint64
 	told     []told
 	segments []segment // what is measured, one after another; all before is preparation
+	handle   handler   // that the controller is told by; nil is its Handle
 }
 
+// handler passes an event to a controller.
+type handler func(c *control.Controller, at time.Duration, e control.Event)
+
 type told struct {
 	at    time.Duration
 	event control.Event
@@ -45,9 +49,13 @@
 }
 
 // tell tells a controller a part of the recording.
-func tell(c *control.Controller, part []told) {
+func (r *Recording) tell(c *control.Controller, part []told) {
+	handle := r.handle
+	if handle == nil {
+		handle = func(c *control.Controller, at time.Duration, e control.Event) { c.Handle(at, e) }
+	}
 	for _, t := range part {
-		c.Handle(t.at, t.event)
+		handle(c, t.at, t.event)
 	}
 }
 
@@ -57,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tell(c, r.told[:r.segments[0].from])
+	r.tell(c, r.told[:r.segments[0].from])
 	return c, nil
 }
 
@@ -76,7 +84,7 @@
 		}
 		s, next := r.segments[i], r.segments[i+1]
 		part := r.told[s.from:next.from]
-		took := microseconds(scale.CPUOf(func() { tell(c, part) }))
+		took := microseconds(scale.CPUOf(func() { r.tell(c, part) }))
 		least.request = min(least.request, took/max(1, float64(requests(part))))
 		least.second = min(least.second, took/(next.began-s.began).Seconds())
 	}
--- a/internal/testbed/scale/request/serverset.go
+++ b/internal/testbed/scale/request/serverset.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.recording.handle = k.handle
 	heap := f.setHeap(size, choose)
 	requests := requestsFor(len(k.list.Endpoints))
 	if err := f.run(ctx, requests, requests); err != nil {
