--- a/control/preferred.go
+++ b/control/preferred.go
@@ -25,13 +25,29 @@
 // other servers. Without preferred servers each of many nodes would open connections to every server and know
 // next to nothing of any.
 func (set *serverSet) isPreferred(s *server) bool {
-	key := s.Server // assigned in sequence by each node, so that all nodes prefer equally many
-	if s.warmingUp && s.HashKey != 0 {
-		key = s.HashKey // the same at all nodes, so that equally many nodes prefer each of these servers
+	position := s.position
+	if s.warmingUp {
+		position = s.warmUpPosition
+	}
+	return position < set.preferredFraction(s)
+}
+
+// setPositions sets the positions of a server in the unit interval by its entry. While it is warming up, its
+// hash key counts, which is the same at all nodes, so that equally many nodes prefer each of these servers.
+// Otherwise its number counts, which each node assigns in sequence, so that all nodes prefer equally many.
+func (set *serverSet) setPositions(s *server) {
+	s.position = set.positionOf(s.Server)
+	s.warmUpPosition = s.position
+	if s.HashKey != 0 {
+		s.warmUpPosition = set.positionOf(s.HashKey)
 	}
-	position := float64(set.env.settings.NodeIndex) / float64(set.env.settings.FleetSize)
-	_, fraction := math.Modf(position + float64(key)*goldenRatio)
-	return fraction < set.preferredFraction(s)
+}
+
+// positionOf returns the position of a key in the unit interval, as this node sees it.
+func (set *serverSet) positionOf(key uint32) float64 {
+	node := float64(set.env.settings.NodeIndex) / float64(set.env.settings.FleetSize)
+	_, position := math.Modf(node + float64(key)*goldenRatio)
+	return position
 }
 
 // preferredShare is the fraction of warm servers that this node prefers, and the list for which it was
--- a/control/server.go
+++ b/control/server.go
@@ -12,6 +12,8 @@
 	listed    bool // the server is in the endpoint list and not removed
 	preferred bool // see serverSet.isPreferred
 
+	position, warmUpPosition float64 // see serverSet.setPositions
+
 	inFlight       int           // attempts in flight whose body has been sent, including those in responding
 	responding     int           // attempts whose response has begun
 	abandoned      int           // ended attempts whose work is assumed to continue
@@ -137,6 +139,7 @@
 	}
 	s.Endpoint = endpoint
 	s.listed = listed
+	set.setPositions(s)
 	if s.listed {
 		delete(set.unlisted, s)
 	} else {
