Leave an open request alone when a request with its ID is abandoned

Found by reading the completion of requests. Change: the loop abandons and releases only the request that it knows by the ID.

--- a/internal/node/busyloop_test.go
+++ b/internal/node/busyloop_test.go
@@ -199,3 +199,36 @@
 	r.ended <- nil
 	assert.Len(t, a.requests(), 1, "a request was forwarded at the end of the drain")
 }
+
+// Guards against a request whose client leaves before the loop takes it, and that has the ID of an open one: the open
+// request is still retried.
+func TestLeavingDuplicateDoesNotEndTheOpenRequest(t *testing.T) {
+	r := newTestNode(t)
+	received, fail := make(chan struct{}, 2), make(chan struct{})
+	first := true
+	a := newTestServer(t, func(w http.ResponseWriter, q *http.Request) {
+		received <- struct{}{}
+		if first {
+			first = false
+			<-fail
+			resetConn(w, q)
+			return
+		}
+		serveOK(w, q)
+	})
+	r.updateList(a.target("s-1", 0))
+	open, duplicate := r.dial(), r.dial()
+	_, _ = io.WriteString(open, rawRequest(http.MethodGet, "roster-read", "id-1", 5*time.Second))
+	receive(t, received)
+	release := r.holdLoop()
+	_, _ = io.WriteString(duplicate, rawRequest(http.MethodGet, "roster-read", "id-1", 5*time.Second))
+	time.Sleep(100 * time.Millisecond) // until it waits for the loop
+	_ = duplicate.Close()
+	assert.Eventually(t, func() bool { return r.node.front.clientDisconnects.Load() == 1 }, testTimeout, time.Millisecond)
+	release()
+	r.waitUntil("the loop has handled the duplicate", func() bool { return len(r.node.loop.events) == 0 })
+	close(fail)
+	status, _ := timedStatus(t, open, time.Now())
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, 2, a.requestCount())
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -236,7 +236,7 @@
 // time was over. Attempts that have been written continue: canceling them would not stop the server's work, and the
 // decision module still uses their outcomes.
 func (l *loop) abandon(x *exchange) {
-	if x.done {
+	if x.done || l.exchanges[x.req.ID] != x { // another request may have the same ID
 		return
 	}
 	x.done = true
@@ -261,7 +261,7 @@
 // release removes a finished request once none of its attempts is in flight. If it were removed earlier, its ID could
 // be reused while outcomes of its attempts still arrive.
 func (l *loop) release(x *exchange) {
-	if x.done && x.inFlight == 0 {
+	if x.done && x.inFlight == 0 && l.exchanges[x.req.ID] == x {
 		delete(l.exchanges, x.req.ID)
 	}
 }
