--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -90,6 +90,7 @@
 		return answer{err: err, unsent: true}
 	}
 	defer func() { _ = c.Close() }()
+	_ = c.SetWriteDeadline(time.Now().Add(q.timeLeft))
 	if _, err := c.Write(q.bytes()); err != nil {
 		return answer{err: err, unsent: true}
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,12 +12,17 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // serverCores is the number of requests that a rating server works on at once.
 const serverCores = 3
 
+// serverBuffer is the size of the kernel's read buffer of a rating server's connection, in bytes. It is set so that a play does
+// not depend on the machine's default.
+const serverBuffer = 64 << 10
+
 // run is a request that a rating server got whole.
 type run struct {
 	server string
@@ -106,7 +112,15 @@
 
 // serveRating is the process of a rating server.
 func serveRating(address string, work time.Duration) error {
-	l, err := net.Listen("tcp", address)
+	listen := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		if controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, serverBuffer)
+		}); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	l, err := listen.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return err
 	}
