--- a/review/standin/stalled.go
+++ b/review/standin/stalled.go
@@ -39,14 +39,14 @@
 		time.Sleep(3 * time.Second)
 		p.record.printf("%d improper peers connect, and send a head and 3 bytes of a body of 64 KiB", stalledPeers)
 		for i := range stalledPeers {
-			out.Go(func() { stalledPeer(n.address, 1000*burst+i) })
+			out.Go(func() { p.stalledPeer(n.address, 1000*burst+i) })
 		}
 	}
 	return nil
 }
 
 // stalledPeer sends a head and three bytes of its body, and waits for its error or close.
-func stalledPeer(address string, number int) {
+func (p *play) stalledPeer(address string, number int) {
 	c, err := dial(address)
 	if err != nil {
 		return
@@ -55,5 +55,6 @@
 	q := request{method: http.MethodPost, class: "charge-post", id: fmt.Sprintf("f0%014x", number), key: "k", customer: 1,
 		timeLeft: 3 * time.Second, body: 64 << 10}
 	_, _ = c.Write([]byte(q.header() + "xxx"))
-	_ = c.read(time.Now().Add(3 * time.Second))
+	start := time.Now()
+	p.record.printf("improper peer: %s got %v", q.id, c.read(start.Add(3*time.Second)).after(start))
 }
