--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -44,9 +44,9 @@
 
 var cases = map[string]func(*record, bool) result{
 	"subset-key":   playSubsetKey,
+	"memory":       playMemory,
 	"long-answers": playLongAnswers,
 	"many-at-once": playManyAtOnce,
-	"late-body":    playLateBody,
 	"options":      playOptions,
 }
 
