--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -46,7 +46,7 @@
 	"subset-key":   playSubsetKey,
 	"memory":       playMemory,
 	"long-answers": playLongAnswers,
-	"many-at-once": playManyAtOnce,
+	"late-body":    playLateBody,
 	"options":      playOptions,
 }
 
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -37,6 +37,7 @@
 	list    []target
 	changes []update      // since the first version
 	changed chan struct{} // closed at the next change
+	told    map[string]time.Time
 }
 
 const firstRev = 41
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &discovery{listener: l, record: r, rev: firstRev, list: list, changed: make(chan struct{})}
+	d := &discovery{listener: l, record: r, rev: firstRev, list: list, changed: make(chan struct{}), told: make(map[string]time.Time)}
 	go func() { _ = http.Serve(l, http.HandlerFunc(d.serve)) }()
 	return d, nil
 }
@@ -83,6 +84,14 @@
 	}
 }
 
+// toldAt returns when a watch was told of a state of a server, and whether it was.
+func (d *discovery) toldAt(uid, state string) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.told[uid+" "+state]
+	return at, ok
+}
+
 // serve answers the whole list, or a watch of it.
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("watch") != "1" {
@@ -105,6 +114,9 @@
 				return
 			}
 			rev = u.Rev
+			d.mu.Lock()
+			d.told[u.Targets[0].UID+" "+u.Targets[0].State] = time.Now()
+			d.mu.Unlock()
 			d.record.line("discovery has told version %d", u.Rev)
 		}
 		select {
