--- a/review/standin2/longanswers.go
+++ b/review/standin2/longanswers.go
@@ -129,6 +129,7 @@
 		_ = c.conn.(*net.TCPConn).SetReadBuffer(longPiece)
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(60 * time.Second))
+	p.record.line("client %d sends %s", number, id)
 	if _, err := io.WriteString(c.conn, get(id, 100+number)); err != nil {
 		return true, err
 	}
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -55,7 +55,7 @@
 // length. An edge node that holds more than its memory is killed. Without trouble the clients read and send as fast as
 // they can.
 func playMemory(r *record, trouble bool) result {
-	list, err := startServers(9, giveLong)
+	list, err := startServers(9, giveLong(r))
 	if err != nil {
 		return result{cannot: err}
 	}
@@ -109,6 +109,7 @@
 		all.Go(func() {
 			for try := 0; try < longRetries; try++ {
 				id := fmt.Sprintf("%08x%08x", i+1, try)
+				r.line("client %d sends %s", i, id)
 				status, read, err := longExchange(e.address, id, i, slow)
 				r.line("client %d got %d and %d bytes for %s: %v", i, status, read, id, err)
 				if status == http.StatusOK {
@@ -123,18 +124,22 @@
 	close(done)
 }
 
-// giveLong reads a request and gives a long answer without a length.
-func giveLong(_ *ratingServer, w http.ResponseWriter, req *http.Request) {
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return
-	}
-	time.Sleep(20 * time.Millisecond)
-	meter(w)
-	piece := make([]byte, longPiece)
-	for sent := 0; sent < longBytes; sent += longPiece {
-		if _, err := w.Write(piece); err != nil {
+// giveLong returns what reads a request and gives a long answer without a length.
+func giveLong(r *record) func(*ratingServer, http.ResponseWriter, *http.Request) {
+	return func(s *ratingServer, w http.ResponseWriter, req *http.Request) {
+		id := req.Header.Get("X-Correlation-Id")
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
+		r.line("%s runs %s", s.UID, id)
+		time.Sleep(20 * time.Millisecond)
+		meter(w)
+		piece := make([]byte, longPiece)
+		for sent := 0; sent < longBytes; sent += longPiece {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
 	}
 }
 
