--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -42,3 +43,11 @@
 	raw, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(raw), err
 }
+
+// markRetry marks the text of a request as a retry of its client if it is one.
+func markRetry(text string, try int) string {
+	if try == 0 {
+		return text
+	}
+	return strings.Replace(text, "\r\nX-Weight", "\r\nX-Repeat: 1\r\nX-Weight", 1)
+}
--- a/review/standin2/longanswers.go
+++ b/review/standin2/longanswers.go
@@ -19,7 +19,7 @@
 	longBytes      = 2 << 20                // an answer
 	longPiece      = 16 << 10               // a slow client reads so much
 	longPause      = 250 * time.Millisecond // in this time: 64 kB a second
-	longRetries    = 20                     // of a client that is refused
+	longTries      = 2                      // of a client: it retries at most once, when it is refused
 	holdLimit      = 2*time.Second + 50*time.Millisecond
 	longPlayLength = 40 * time.Second
 )
@@ -103,11 +103,11 @@
 	}
 }
 
-// client sends requests until one is not refused, and reads its answer.
+// client sends a request, and again once if it is refused, and reads its answer.
 func (p *longPlay) client(e *edge, number int, slow bool) {
-	for try := range longRetries {
+	for try := range longTries {
 		id := fmt.Sprintf("%08x%08x", number+1, try)
-		again, err := p.try(e, id, number, slow)
+		again, err := p.try(e, id, number, try, slow)
 		if err != nil {
 			p.record.line("client %d: %v", number, err)
 		}
@@ -119,7 +119,7 @@
 }
 
 // try sends one request and reads its answer. again is true if it was refused and no rating server had begun an answer.
-func (p *longPlay) try(e *edge, id string, number int, slow bool) (again bool, err error) {
+func (p *longPlay) try(e *edge, id string, number, try int, slow bool) (again bool, err error) {
 	c, err := dialClient(e.address)
 	if err != nil {
 		return true, err
@@ -130,7 +130,7 @@
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(60 * time.Second))
 	p.record.line("client %d sends %s", number, id)
-	if _, err := io.WriteString(c.conn, get(id, 100+number)); err != nil {
+	if _, err := io.WriteString(c.conn, markRetry(get(id, 100+number), try)); err != nil {
 		return true, err
 	}
 	resp, err := http.ReadResponse(c.reader, nil)
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -102,15 +102,15 @@
 	}
 }
 
-// startMemoryClients runs the clients, each with requests until one is served, and closes done when all have ended.
+// startMemoryClients runs the clients, each with one request and at most one retry, and closes done when all have ended.
 func startMemoryClients(r *record, e *edge, slow bool, done chan<- struct{}) {
 	var all sync.WaitGroup
 	for i := range memoryClients {
 		all.Go(func() {
-			for try := 0; try < longRetries; try++ {
+			for try := 0; try < longTries; try++ {
 				id := fmt.Sprintf("%08x%08x", i+1, try)
 				r.line("client %d sends %s", i, id)
-				status, read, err := longExchange(e.address, id, i, slow)
+				status, read, err := longExchange(e.address, id, i, try, slow)
 				r.line("client %d got %d and %d bytes for %s: %v", i, status, read, id, err)
 				if status == http.StatusOK {
 					return
@@ -144,7 +144,7 @@
 }
 
 // longExchange sends one request, a long one for each third client, and reads its answer.
-func longExchange(address, id string, number int, slow bool) (status, read int, err error) {
+func longExchange(address, id string, number, try int, slow bool) (status, read int, err error) {
 	c, err := dialClient(address)
 	if err != nil {
 		return 0, 0, err
@@ -155,8 +155,8 @@
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(2 * memoryPlay))
 	if number%3 == 0 {
-		c.sendLong(id, 100+number, slow)
-	} else if _, err := io.WriteString(c.conn, get(id, 100+number)); err != nil {
+		c.sendLong(id, 100+number, try, slow)
+	} else if _, err := io.WriteString(c.conn, markRetry(get(id, 100+number), try)); err != nil {
 		return 0, 0, err
 	}
 	resp, err := http.ReadResponse(c.reader, nil)
@@ -178,9 +178,9 @@
 }
 
 // sendLong sends a charge-post with a long body without a length, until it is whole or the connection ends.
-func (c *client) sendLong(id string, account int, slow bool) {
+func (c *client) sendLong(id string, account, try int, slow bool) {
 	head := strings.Replace(post(id, account, 0), "Content-Length: 0", "Transfer-Encoding: chunked", 1)
-	if _, err := io.WriteString(c.conn, head); err != nil {
+	if _, err := io.WriteString(c.conn, markRetry(head, try)); err != nil {
 		return
 	}
 	piece := make([]byte, longPiece)
