--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -122,9 +122,14 @@
 			return true
 		}
 	}
-	if !wait(closeDelay) || !d.enterStage(canceled, 1) || !wait(idleDelay) || !d.enterStage(canceled, 2) {
+	if !wait(closeDelay) || !d.enterStage(canceled, 1) {
 		return
 	}
+	slog.Info("drain: responses close their connections")
+	if !wait(idleDelay) || !d.enterStage(canceled, 2) {
+		return
+	}
+	slog.Info("drain: closing idle connections")
 	for ok := true; ok; ok = wait(idlePollInterval) {
 		d.front.closeIdle()
 	}
@@ -174,6 +179,8 @@
 		return n.loop.failure
 	}
 	n.finish(n.drainTimeout - time.Since(begun))
+	slog.Info("drain: completing open requests", "in_flight", n.stats.inflight.Load(), "connections", n.front.openConns.Load(),
+		"streams", n.front.openStreams.count(), "after", time.Since(begun).Round(time.Millisecond))
 	close(n.front.stopped) // completes the open requests, also while the loop is busy
 	stopLoop()
 	n.finish(drainWriteTimeout)
@@ -206,11 +213,14 @@
 // awaitStreams waits until all streamed responses have ended: a server that goes on writing is not cut off, however slow it
 // is, while the process is not killed. The silence of a server and of a client end a stream as ever.
 func (n *Node) awaitStreams() {
-	if n.front.openStreams.Load() == 0 {
+	open := n.front.openStreams.count()
+	if open == 0 {
 		return
 	}
 	begun := time.Now()
-	for n.front.openStreams.Load() > 0 && time.Since(begun) < maxDrainStreamTime {
+	slog.Info("drain: waiting for streamed responses", "streams", open)
+	n.front.openStreams.log("drain: response is still streamed")
+	for n.front.openStreams.count() > 0 && time.Since(begun) < maxDrainStreamTime {
 		n.front.closeIdle()
 		time.Sleep(drainPollInterval)
 	}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -28,8 +28,8 @@
 	response        chan response   // receives the final response, unless the goroutine that serves the client completed the request itself
 	completion      completion
 	stats           *stats
-	idMemory        time.Duration // time for which the ID is remembered once it may have run; 0 if it may run again
-	received        atomic.Bool   // whether the last byte of the request has been received
+	idMemory        time.Duration             // time for which the ID is remembered once it may have run; 0 if it may run again
+	receivedAt      atomic.Pointer[time.Time] // time at which the last byte of the request was read; nil before
 
 	// The fields below are owned by the event loop once beginExchange has been called.
 	done         bool // whether the loop knows that the request is answered or the client has left
@@ -43,14 +43,17 @@
 
 // markReceived counts the request as in flight. Further calls have no effect.
 func (x *exchange) markReceived() {
-	if !x.received.Swap(true) {
+	if now := time.Now(); x.receivedAt.CompareAndSwap(nil, &now) {
 		x.stats.inflight.Add(1)
 	}
 }
 
+// received reports whether the last byte of the request has been read.
+func (x *exchange) received() bool { return x.receivedAt.Load() != nil }
+
 // markEnded counts the request as no longer in flight, if markReceived was called.
 func (x *exchange) markEnded() {
-	if x.received.Load() {
+	if x.received() {
 		x.stats.inflight.Add(-1)
 	}
 }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -30,6 +30,8 @@
 	stopped    chan struct{} // closed when open requests have to be completed, as the process ends
 	openBodies *openBodies
 
+	openStreams *openStreams
+
 	ready    atomic.Bool // /healthz responds 503 until this is set
 	draining atomic.Bool // /healthz responds 503 while this is set
 	closing  atomic.Bool // each response closes its connection
@@ -40,7 +42,6 @@
 
 	accepted, evicted, badRequests, clientDisconnects atomic.Int64 // counts since the node started, for the log
 	openConns                                         atomic.Int64 // client connections that are open now
-	openStreams                                       atomic.Int64 // streamed responses that are being written now
 	unservedLog                                       logLimit     // log lines of completeUnserved
 }
 
@@ -56,19 +57,20 @@
 
 func newFrontend(s control.Settings, l *loop, sockets *sockets, counts *stats) *frontend {
 	f := &frontend{
-		loop:       l,
-		classes:    make(map[string]control.Class),
-		plans:      make(map[string]bool),
-		fleetSize:  s.FleetSize,
-		maxTokens:  s.MaxRequestTokens,
-		sockets:    sockets,
-		stats:      counts,
-		budget:     l.upstream.budget,
-		retryAfter: s.RetryAfter(),
-		stopped:    make(chan struct{}),
-		openBodies: newOpenBodies(),
-		idleSince:  make(map[*clientConn]time.Time),
-		newSince:   make(map[*clientConn]time.Time),
+		loop:        l,
+		classes:     make(map[string]control.Class),
+		plans:       make(map[string]bool),
+		fleetSize:   s.FleetSize,
+		maxTokens:   s.MaxRequestTokens,
+		sockets:     sockets,
+		stats:       counts,
+		budget:      l.upstream.budget,
+		retryAfter:  s.RetryAfter(),
+		stopped:     make(chan struct{}),
+		openBodies:  newOpenBodies(),
+		openStreams: newOpenStreams(),
+		idleSince:   make(map[*clientConn]time.Time),
+		newSince:    make(map[*clientConn]time.Time),
 	}
 	for _, k := range s.Classes {
 		f.classes[k.Name] = k
@@ -164,15 +166,15 @@
 		f.rejectBadRequest(w, r, rejected)
 		return nil, false
 	}
-	if !x.received.Load() {
+	if !x.received() {
 		w.Header().Set("Connection", "close") // the request body was not read to its end
 	}
 	defer final.discard()
 	if final.stream != nil {
-		f.openStreams.Add(1)
-		defer f.openStreams.Add(-1)
+		conn, _ := r.Context().Value(connKey{}).(*clientConn)
+		defer f.openStreams.begin(&openStream{exchange: x, conn: conn, response: final.stream, startedAt: time.Now()})()
 	}
-	if final.stream != nil && x.received.Load() {
+	if final.stream != nil && x.received() {
 		defer context.AfterFunc(r.Context(), func() { final.stream.leave(errClientDisconnected) })()
 	}
 	err := f.write(w, &final)
@@ -218,7 +220,7 @@
 			// read of the body is reported by bodyFailed, or the read was stopped because the final response is there.
 			// If the body is stopped just as its last byte is read, the past deadline fails the read by which net/http
 			// detects a disconnect.
-			if x.streamedBody != nil && (!x.received.Load() || x.streamedBody.isStopped()) {
+			if x.streamedBody != nil && (!x.received() || x.streamedBody.isStopped()) {
 				disconnected = nil
 				continue
 			}
