End responses to requests that came late in a shutdown before SIGKILL may come

Cause: the drain waited for every streamed response, whenever its request had come. A server that stopped or went on slowly within its response held a late request open beyond the kill. Change: a request that is whole 0.5 s and more after the signal is late (0.7 s by the protocol, less what the signal or the request may wait). When the drain completes open requests, 0.4 s before the kill, it resets the connections of late streams, so that clients can tell in each framing, and begins no further ones (502). Streams of earlier requests go on as before. Each is logged with ID, class and times, and counted in node_cut_off_total.

--- a/internal/node/clientconns.go
+++ b/internal/node/clientconns.go
@@ -329,6 +329,14 @@
 	return c.countedConn.Close()
 }
 
+// abort resets the connection.
+func (c *clientConn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.countedConn.Close()
+}
+
 // logDiscarded counts, and now and then logs, that bytes were discarded because they came when the connection was closed for
 // writing already, such as a request that crossed the end of an idle connection.
 func (c *clientConn) logDiscarded() {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -157,12 +157,13 @@
 
 // drain drains the node at shutdown. Clients detect the drain by /healthz but may still use their open connections, and
 // if another node restarts at the same time, some tenants have no other node. So the node first serves as before; then
-// each response closes its connection, and drain returns once all requests are answered. The loop ends before the streamed
-// responses do, so that a successor need not wait for its share of the quotas. If another process shares the
+// each response closes its connection, and drain returns once all requests are answered. Late requests end with the drain,
+// whether or not their responses are whole. The loop ends before the streamed responses to earlier ones do, so that a successor need not wait for its share of the quotas. If another process shares the
 // listening socket, that process gets all new connections: this one stops accepting and closes connections with their
 // next response from the start.
 func (n *Node) drain(stopLoop context.CancelFunc) error {
 	begun := time.Now()
+	n.front.shutdown.begin(begun)
 	closeDelay := max(n.drainTimeout-drainClosePeriod, 0)
 	slog.Info("draining", "shared", n.inherited)
 	if n.inherited {
@@ -181,7 +182,7 @@
 	n.finish(n.drainTimeout - time.Since(begun))
 	slog.Info("drain: completing open requests", "in_flight", n.stats.inflight.Load(), "connections", n.front.openConns.Load(),
 		"streams", n.front.openStreams.count(), "after", time.Since(begun).Round(time.Millisecond))
-	close(n.front.stopped) // completes the open requests, also while the loop is busy
+	n.front.stop()
 	stopLoop()
 	n.finish(drainWriteTimeout)
 	<-n.loop.ended
@@ -210,8 +211,8 @@
 	}
 }
 
-// awaitStreams waits until all streamed responses have ended: a server that goes on writing is not cut off, however slow it
-// is, while the process is not killed. The silence of a server and of a client end a stream as ever.
+// awaitStreams waits until the streamed responses to requests that were not late have ended: a server that goes on writing is
+// not cut off, however slow it is, while the process is not killed. The silence of a server and of a client end a stream as ever.
 func (n *Node) awaitStreams() {
 	open := n.front.openStreams.count()
 	if open == 0 {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -27,6 +27,7 @@
 	budget    *budget
 
 	retryAfter time.Duration // Retry-After of a rejection
+	shutdown   *shutdown
 	stopped    chan struct{} // closed when open requests have to be completed, as the process ends
 	openBodies *openBodies
 
@@ -57,21 +58,22 @@
 
 func newFrontend(s control.Settings, l *loop, sockets *sockets, counts *stats) *frontend {
 	f := &frontend{
-		loop:        l,
-		classes:     make(map[string]control.Class),
-		plans:       make(map[string]bool),
-		fleetSize:   s.FleetSize,
-		maxTokens:   s.MaxRequestTokens,
-		sockets:     sockets,
-		stats:       counts,
-		budget:      l.upstream.budget,
-		retryAfter:  s.RetryAfter(),
-		stopped:     make(chan struct{}),
-		openBodies:  newOpenBodies(),
-		openStreams: newOpenStreams(),
-		idleSince:   make(map[*clientConn]time.Time),
-		newSince:    make(map[*clientConn]time.Time),
+		loop:       l,
+		classes:    make(map[string]control.Class),
+		plans:      make(map[string]bool),
+		fleetSize:  s.FleetSize,
+		maxTokens:  s.MaxRequestTokens,
+		sockets:    sockets,
+		stats:      counts,
+		budget:     l.upstream.budget,
+		retryAfter: s.RetryAfter(),
+		shutdown:   &shutdown{},
+		stopped:    make(chan struct{}),
+		openBodies: newOpenBodies(),
+		idleSince:  make(map[*clientConn]time.Time),
+		newSince:   make(map[*clientConn]time.Time),
 	}
+	f.openStreams = newOpenStreams(f.shutdown, &counts.cutOffs)
 	for _, k := range s.Classes {
 		f.classes[k.Name] = k
 	}
@@ -83,6 +85,12 @@
 	return f
 }
 
+// stop completes the open requests, also while the loop is busy, and ends the streamed responses to late ones.
+func (f *frontend) stop() {
+	close(f.stopped)
+	f.openStreams.endLate()
+}
+
 // ServeHTTP reads a request, waits for its final response and writes it.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, isConn := r.Context().Value(connKey{}).(*clientConn)
@@ -170,9 +178,16 @@
 		w.Header().Set("Connection", "close") // the request body was not read to its end
 	}
 	defer final.discard()
+	var stream *openStream // nil if the response is not streamed
 	if final.stream != nil {
 		conn, _ := r.Context().Value(connKey{}).(*clientConn)
-		defer f.openStreams.begin(&openStream{exchange: x, conn: conn, response: final.stream, startedAt: time.Now()})()
+		stream = &openStream{exchange: x, conn: conn, response: final.stream, startedAt: time.Now()}
+		if end, ok := f.openStreams.begin(stream); ok {
+			defer end()
+		} else {
+			final.discard()
+			final, stream = response{status: http.StatusBadGateway}, nil
+		}
 	}
 	if final.stream != nil && x.received() {
 		defer context.AfterFunc(r.Context(), func() { final.stream.leave(errClientDisconnected) })()
@@ -181,7 +196,7 @@
 	if x.streamedBody != nil {
 		_ = http.NewResponseController(w).Flush()
 	}
-	if errors.Is(err, errClientDisconnected) {
+	if errors.Is(err, errClientDisconnected) && (stream == nil || !stream.cutOff.Load()) {
 		f.clientDisconnects.Add(1)
 		return nil, false
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -24,6 +24,7 @@
 	listed     atomic.Int64 // servers in the list
 	avoided    atomic.Int64 // listed servers that the decision module avoids
 	unserved   atomic.Int64 // requests completed without the event loop
+	cutOffs    atomic.Int64 // responses that the end of the process cut off
 	examined   atomic.Int64 // servers that the decision module's rules have looked at
 	slowestUS  atomic.Int64 // longest event of the loop in the last interval, in microseconds
 	longestUS  atomic.Int64 // longest wait of an event for the loop in the last interval, in microseconds
@@ -82,6 +83,7 @@
 func (s *stats) writeLoop(w io.Writer) {
 	writeMetrics(w, []metric{
 		{"node_unserved_total", "counter", "Requests completed without the event loop: at their deadline, or as the process ended.", &s.unserved},
+		{"node_cut_off_total", "counter", "Responses to requests that came late in a shutdown, cut off by its end.", &s.cutOffs},
 		{"node_servers_examined_total", "counter", "Servers that the decisions have looked at.", &s.examined},
 		{"node_loop_slowest_us", "gauge", "Longest event of the event loop in the last interval of 5 s, in microseconds.", &s.slowestUS},
 		{"node_loop_wait_us", "gauge", "Longest wait of an event for the event loop in the last interval of 5 s, in microseconds.", &s.longestUS},
