Answer late requests as failed, not with a part of a short response

What callers saw: a request that came late in a shutdown got the start of a short response, which the end of the process then cut off, where it could still have been answered as failed. Cause: a response that is not whole after 0.5 s is begun to be streamed, whatever time is left for it. Change: a response of 64 KiB at most to a late request is buffered until it is whole; until then it can be answered with 502 or 504, or its request be tried again. A longer one, or one for which there is no memory, is streamed as before and ends with the drain.

--- a/cmd/edgenode/lateshutdown_test.go
+++ b/cmd/edgenode/lateshutdown_test.go
@@ -124,9 +124,14 @@
 	}
 }
 
-// play shuts a process down and kills it at the earliest moment. It returns what the late requests got that had no end
-// by then.
-func (s lateShutdown) play(t *testing.T) (lost []string) {
+// lateResults are the late requests of a shutdown that did not get a whole response.
+type lateResults struct {
+	lost   []string // without an end at the kill
+	cutOff []string // with a part of a response
+}
+
+// play shuts a process down and kills it at the earliest moment.
+func (s lateShutdown) play(t *testing.T) (results lateResults) {
 	t.Helper()
 	ended := make(chan struct{})
 	defer close(ended)
@@ -164,26 +169,28 @@
 	}
 	time.Sleep(time.Until(killAt))
 	for i := range clients {
-		if text := clients[i].lostAt(killAt, sigterm); text != "" {
-			lost = append(lost, text)
-		}
+		clients[i].addTo(&results, killAt, sigterm)
 	}
 	_ = p.Process.Kill()
 	_ = p.Wait()
 	for i := range clients {
 		clients[i].log(t, i, sigterm)
 	}
-	return lost
+	return results
 }
 
-// lostAt returns a description of a late request that had no end at the time of the kill, or "" if it is not lost.
-func (l *lateClient) lostAt(killAt, sigterm time.Time) string {
+// addTo adds a late request to the results, unless it got a whole response.
+func (l *lateClient) addTo(results *lateResults, killAt, sigterm time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.sentAt.IsZero() || l.sentAt.Sub(sigterm) <= lateFrom || (!l.endedAt.IsZero() && !l.endedAt.After(killAt)) {
-		return ""
+	text := fmt.Sprint("sent ", l.sentAt.Sub(sigterm).Round(time.Millisecond), " after SIGTERM")
+	switch {
+	case l.sentAt.IsZero() || l.sentAt.Sub(sigterm) <= lateFrom:
+	case l.endedAt.IsZero() || l.endedAt.After(killAt):
+		results.lost = append(results.lost, text)
+	case strings.HasPrefix(l.result, "200 after"):
+		results.cutOff = append(results.cutOff, text)
 	}
-	return fmt.Sprint("sent ", l.sentAt.Sub(sigterm).Round(time.Millisecond), " after SIGTERM")
 }
 
 // log logs what became of a request.
@@ -254,7 +261,7 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			assert.Empty(t, s.play(t), "late requests without an end at the kill")
+			assert.Empty(t, s.play(t).lost, "late requests without an end at the kill")
 		})
 	}
 	for name, serve := range endlessServers {
@@ -266,3 +273,24 @@
 	run("3 MB to slow readers, 2 s", lateShutdown{deadline: 2 * time.Second, serve: respond("length", 3_000_000, 0, 0), readRate: 200_000})
 	run("3 MB in chunks to slow readers, 2 s", lateShutdown{deadline: 2 * time.Second, serve: respond("chunked", 3_000_000, 0, 0), readRate: 200_000})
 }
+
+// Guards against a short response to a late request that is begun to be passed on though it may not be whole by the kill: it is
+// answered as failed.
+func TestShortResponsesToLateRequestsAreWhole(t *testing.T) {
+	slots := make(chan struct{}, lateAtOnce)
+	for name, serve := range endlessServers {
+		if name == "200 kB of 600 kB" || name == "trickle of a long response" {
+			continue
+		}
+		for _, deadline := range []time.Duration{1500 * time.Millisecond, 3 * time.Second} {
+			t.Run(fmt.Sprint(name, ", ", deadline), func(t *testing.T) {
+				t.Parallel()
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				results := lateShutdown{deadline: deadline, serve: serve}.play(t)
+				assert.Empty(t, results.lost, "late requests without an end at the kill")
+				assert.Empty(t, results.cutOff, "late requests with a part of a response")
+			})
+		}
+	}
+}
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -179,7 +179,7 @@
 		return stream
 	}
 	return &attempt{req: req, body: x.body, bodyStream: x.streamedBody, startDeadline: startDeadline,
-		beforeSend: beforeSend, timeLeft: timeLeft, onWritten: onWritten, onStreamStart: onStreamStart}
+		isLate: func() bool { return l.shutdown.isLate(x) }, beforeSend: beforeSend, timeLeft: timeLeft, onWritten: onWritten, onStreamStart: onStreamStart}
 }
 
 // responseStarted records that a streamed response has become the final one.
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -67,7 +67,7 @@
 		stats:      counts,
 		budget:     l.upstream.budget,
 		retryAfter: s.RetryAfter(),
-		shutdown:   &shutdown{},
+		shutdown:   l.shutdown,
 		stopped:    make(chan struct{}),
 		openBodies: newOpenBodies(),
 		idleSince:  make(map[*clientConn]time.Time),
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -28,6 +28,7 @@
 	maxAttempts int       // maximum number of attempts per request; 0 means no limit
 	maxTokens   float64   // maximum number of tokens per request; 0 means no limit
 	stats       *stats
+	shutdown    *shutdown
 
 	attemptCtx     context.Context // context of all attempts; ends with the node
 	cancelAttempts context.CancelFunc
@@ -74,6 +75,7 @@
 		maxAttempts:    cfg.Settings.MaxAttempts,
 		maxTokens:      cfg.Settings.MaxRequestTokens,
 		stats:          metrics,
+		shutdown:       &shutdown{},
 		attemptCtx:     attemptCtx,
 		cancelAttempts: cancelAttempts,
 		events:         make(chan loopEvent, maxQueuedEvents),
--- a/internal/node/responsebody.go
+++ b/internal/node/responsebody.go
@@ -61,7 +61,8 @@
 }
 
 // chooseMode makes a response with status 200 stream: at once if it is long, else when responseBufferTimeout has
-// passed.
+// passed. A short response to a late request is buffered until it is whole: it might not be by the end of the process, and can
+// be answered as failed until it begins.
 func (b *responseBody) chooseMode() {
 	if b.outcome.reason != control.OK {
 		return
@@ -70,6 +71,9 @@
 		b.startStream()
 		return
 	}
+	if b.attempt.isLate != nil && b.attempt.isLate() {
+		return
+	}
 	b.conn.responses.onBufferTimeout = b.startStream
 	b.conn.responses.bufferDeadline = time.Now().Add(b.bufferTime())
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -33,6 +33,7 @@
 	bodyStream    *clientBody          // streamed body; nil if the body is not streamed
 	timeLeft      func() time.Duration // time until the attempt is ended; nil means no limit
 	onWritten     func()               // called when the last byte of the request has been written
+	isLate        func() bool          // reports whether the request came late in the process's shutdown; nil means never
 	isRetired     func() bool          // reports whether nothing new may be sent to the server; set when the attempt starts
 	// onStreamStart is called when a response with status 200 starts to stream, with the bytes read so far and its
 	// length in bytes (below 0 means unknown). It returns the stream for the rest, or nil if nobody reads it.
