Answer a request that waits for memory for its body before a drain ends

What callers saw: a whole request of some kilobytes, sent late in a shutdown while the memory for bodies was full, was closed with no response. Cause: the wait for memory (2.5 s at most) did not watch the end of the drain, unlike each other wait of a request. Change: the wait ends when the drain completes open requests; the request gets 503 then.

--- a/internal/node/openbodies.go
+++ b/internal/node/openbodies.go
@@ -54,7 +54,7 @@
 	return slowest
 }
 
-// reserveBody reserves memory for a body, waiting while the request has time left. Meanwhile bodies that hold memory and
+// reserveBody reserves memory for a body, waiting while the request has time left and the process does not end. Meanwhile bodies that hold memory and
 // whose clients are too slow are given up.
 func (f *frontend) reserveBody(ctx context.Context, x *exchange, stream *clientBody, bytes int64) error {
 	ctx, cancel := context.WithTimeout(ctx, min(x.clock.remaining(), bodyIdleTimeout))
@@ -67,11 +67,14 @@
 	}()
 	relief := time.NewTicker(memoryReliefInterval)
 	defer relief.Stop()
-	for {
+	for stopped := f.stopped; ; {
 		select {
 		case err := <-reserved:
 			stream.holdsMemory.Store(err == nil)
 			return err
+		case <-stopped:
+			cancel()
+			stopped = nil
 		case <-relief.C:
 			f.openBodies.evict(func(b *clientBody) bool { return b.holdsMemory.Load() })
 		}
