Count a shutdown from its signal, and close connections in time whatever it waits for

What callers saw: a process that was told to end while its start waited for a stalled disk drained 1 s too late: requests sent 0.7 s after SIGTERM were forwarded and had no response when SIGKILL came. And while a process waited for a response to an early request, a connection with half a header was open beyond the kill, so that a request could come on it. Cause: the drain counted from its own start, and only the end of the process closed what was left open. Change: the signal's time is the cause of Run's context, and all times count from it. Two timers, which wait for nothing else, complete requests 0.4 s and close all connections but those of early streams 0.1 s before the earliest kill. The start waits neither for its disk nor for its predecessor once the signal has come; a process that is told to end before it listens does not listen.

--- a/cmd/edgenode/main.go
+++ b/cmd/edgenode/main.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"sloestile/internal/config"
 	"sloestile/internal/node"
@@ -51,12 +52,12 @@
 // terminationContext returns a context that ends at the first SIGTERM or interrupt. The signals stay caught until the
 // process has ended: the default action of a further one would end the process with its requests, or with a failure.
 func terminationContext() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
 		<-signals
-		cancel()
+		cancel(&node.ShutdownSignal{At: time.Now()})
 	}()
 	return ctx
 }
@@ -105,6 +106,11 @@
 		}
 		debug.SetMemoryLimit(int64(fraction * float64(cfg.MemoryMB<<20)))
 	}
+	select {
+	case <-ctx.Done():
+		return nil // told to end before clients could connect
+	default:
+	}
 	n, err := node.New(cfg)
 	if err != nil {
 		return err
--- a/internal/node/clientconns.go
+++ b/internal/node/clientconns.go
@@ -54,9 +54,11 @@
 		c.nextRequest()
 	case http.StateNew:
 		f.newSince[c] = time.Now()
+		f.conns[c] = struct{}{}
 		f.accepted.Add(1)
 		f.openConns.Add(1)
 	case http.StateClosed, http.StateHijacked:
+		delete(f.conns, c)
 		f.openConns.Add(-1)
 	}
 }
@@ -75,6 +77,20 @@
 	}
 }
 
+// closeAll closes all connections but those of open streams, and returns how many it closed.
+func (f *frontend) closeAll() (closed int) {
+	streaming := f.openStreams.conns()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if _, ok := streaming[c]; !ok {
+			_ = c.countedConn.Close()
+			closed++
+		}
+	}
+	return closed
+}
+
 // evict closes the oldest connection that has sent no complete header within newConnEvictionAge, else the one that has
 // been idle for the longest time, else the one whose client is furthest behind in sending a body. It reports whether it
 // closed one.
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"net"
 	"sync"
 	"time"
 
@@ -155,39 +153,35 @@
 	return min(longest, maxDrainDeadline) + drainMargin
 }
 
-// drain drains the node at shutdown. Clients detect the drain by /healthz but may still use their open connections, and
+// drain drains the node at shutdown; its times count from the signal. Clients detect the drain by /healthz but may still use their open connections, and
 // if another node restarts at the same time, some tenants have no other node. So the node first serves as before; then
 // each response closes its connection, and drain returns once all requests are answered. Late requests end with the drain,
 // whether or not their responses are whole. The loop ends before the streamed responses to earlier ones do, so that a successor need not wait for its share of the quotas. If another process shares the
 // listening socket, that process gets all new connections: this one stops accepting and closes connections with their
 // next response from the start.
-func (n *Node) drain(stopLoop context.CancelFunc) error {
-	begun := time.Now()
-	n.front.shutdown.begin(begun)
+func (n *Node) drain(signaledAt time.Time, stopLoop context.CancelFunc) error {
+	until := func(afterSignal time.Duration) time.Duration { return max(time.Until(signaledAt.Add(afterSignal)), 0) }
 	closeDelay := max(n.drainTimeout-drainClosePeriod, 0)
-	slog.Info("draining", "shared", n.inherited)
+	slog.Info("draining", "shared", n.inherited, "since_signal", time.Since(signaledAt).Round(time.Millisecond))
 	if n.inherited {
-		n.stopListening()
-		if err := n.listener.Close(); err != nil {
-			slog.Warn("closing the listener for clients failed", "error", err)
-		}
-		n.drainer.beginFinal(0, closeDelay, true)
+		n.closeListener()
+		n.drainer.beginFinal(0, until(closeDelay), true)
 	} else {
-		n.drainer.beginFinal(closeDelay, drainIdleDelay, false)
+		n.drainer.beginFinal(until(closeDelay), drainIdleDelay, false)
 	}
-	if !n.awaitDrainEnd(max(closeDelay+drainIdleDelay, min(n.drainTimeout, drainListenPeriod))) {
+	if !n.awaitDrainEnd(until(max(closeDelay+drainIdleDelay, min(n.drainTimeout, drainListenPeriod)))) {
 		n.finish(drainWriteTimeout)
 		return n.loop.failure
 	}
-	n.finish(n.drainTimeout - time.Since(begun))
+	n.finish(until(n.drainTimeout))
 	slog.Info("drain: completing open requests", "in_flight", n.stats.inflight.Load(), "connections", n.front.openConns.Load(),
-		"streams", n.front.openStreams.count(), "after", time.Since(begun).Round(time.Millisecond))
+		"streams", n.front.openStreams.count(), "since_signal", time.Since(signaledAt).Round(time.Millisecond))
 	n.front.stop()
 	stopLoop()
-	n.finish(drainWriteTimeout)
+	n.finish(until(n.drainTimeout + drainWriteTimeout))
 	<-n.loop.ended
 	n.awaitStreams()
-	slog.Info("drained", "took", time.Since(begun).Round(time.Millisecond))
+	slog.Info("drained", "took", time.Since(signaledAt).Round(time.Millisecond))
 	return n.loop.failure
 }
 
@@ -232,10 +226,7 @@
 // http.Server.Shutdown, which closes connections on which a request is just arriving and drops requests that it has
 // just read.
 func (n *Node) finish(within time.Duration) {
-	n.stopListening()
-	if err := n.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		slog.Warn("closing the listener for clients failed", "error", err)
-	}
+	n.closeListener()
 	n.front.closing.Store(true)
 	poll := time.NewTicker(drainPollInterval)
 	defer poll.Stop()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -29,6 +29,7 @@
 	retryAfter time.Duration // Retry-After of a rejection
 	shutdown   *shutdown
 	stopped    chan struct{} // closed when open requests have to be completed, as the process ends
+	stopOnce   sync.Once
 	openBodies *openBodies
 
 	openStreams *openStreams
@@ -38,6 +39,7 @@
 	closing  atomic.Bool // each response closes its connection
 
 	mu        sync.Mutex
+	conns     map[*clientConn]struct{}  // all open connections
 	idleSince map[*clientConn]time.Time // start of the idle time of each keep-alive connection without an open request
 	newSince  map[*clientConn]time.Time // accept time of each connection that has not sent a complete header yet
 
@@ -70,6 +72,7 @@
 		shutdown:   l.shutdown,
 		stopped:    make(chan struct{}),
 		openBodies: newOpenBodies(),
+		conns:      make(map[*clientConn]struct{}),
 		idleSince:  make(map[*clientConn]time.Time),
 		newSince:   make(map[*clientConn]time.Time),
 	}
@@ -86,9 +89,12 @@
 }
 
 // stop completes the open requests, also while the loop is busy, and ends the streamed responses to late ones.
+// Further calls have no effect.
 func (f *frontend) stop() {
-	close(f.stopped)
-	f.openStreams.endLate()
+	f.stopOnce.Do(func() {
+		close(f.stopped)
+		f.openStreams.endLate()
+	})
 }
 
 // ServeHTTP reads a request, waits for its final response and writes it.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -73,14 +73,16 @@
 }
 
 // receiveHandover receives and applies the state of the process that this one replaces. It returns the connection to
-// that process, which stays open while both processes run, or nil if there is no such process or its state can't be
-// used.
-func (n *Node) receiveHandover(dir string) net.Conn {
-	conn, err := net.DialTimeout("unix", filepath.Join(dir, handoverSocket), handoverTimeout)
+// that process, which stays open while both processes run, or nil if there is no such process, its state can't be used, or ctx
+// ends.
+func (n *Node) receiveHandover(ctx context.Context, dir string) net.Conn {
+	dialer := net.Dialer{Timeout: handoverTimeout}
+	conn, err := dialer.DialContext(ctx, "unix", filepath.Join(dir, handoverSocket))
 	if err != nil {
 		return nil // there is no previous process, or it has ended
 	}
 	_ = conn.SetDeadline(time.Now().Add(handoverTimeout))
+	defer context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(pastDeadline) })()
 	state, size, err := n.readHandover(conn)
 	if err != nil {
 		slog.Warn("handover: starting without the state of the previous process", "error", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,7 +174,7 @@
 	}
 }
 
-// Run serves until ctx ends, and then drains. It returns an error only if the node itself failed. Before it returns it
+// Run serves until ctx ends, and then drains. If the cause of that end is a ShutdownSignal, the drain's times count from it. It returns an error only if the node itself failed. Before it returns it
 // waits for the node's services to end, but not for calls that a stalled disk or voter blocks.
 func (n *Node) Run(ctx context.Context) error {
 	runCtx, endRun := context.WithCancel(context.Background())
@@ -185,10 +185,11 @@
 	defer n.loop.cancelAttempts()
 	loopCtx, stopLoop := context.WithCancel(runCtx)
 	defer stopLoop()
+	defer context.AfterFunc(ctx, func() { n.scheduleEnd(ctx) })()
 	if n.console != nil {
 		running.Go(func() { n.console.run(runCtx) })
 	}
-	previous := n.startLoop(runCtx, loopCtx, &running)
+	previous := n.startLoop(ctx, runCtx, loopCtx, &running)
 	if previous != nil {
 		defer n.scheduleListConfirmation().Stop()
 		running.Go(func() { n.awaitPredecessor(runCtx, previous) })
@@ -201,7 +202,7 @@
 	n.startFleetServices(ctx, runCtx, &running)
 	select {
 	case <-ctx.Done():
-		return n.drain(stopLoop)
+		return n.drain(n.loop.shutdown.begin(signalTime(ctx)), stopLoop)
 	case <-n.loop.ended:
 		n.finish(drainWriteTimeout)
 		return n.loop.failure
@@ -211,16 +212,16 @@
 }
 
 // startLoop receives the state of the previous process or restores the stored state, and starts the event loop. It
-// returns the connection to the previous process, or nil if there is none.
-func (n *Node) startLoop(runCtx, loopCtx context.Context, running *sync.WaitGroup) (previous net.Conn) {
+// returns the connection to the previous process, or nil if there is none. It waits for neither once ctx has ended.
+func (n *Node) startLoop(ctx, runCtx, loopCtx context.Context, running *sync.WaitGroup) (previous net.Conn) {
 	if n.handoverDir != "" {
-		previous = n.receiveHandover(n.handoverDir)
+		previous = n.receiveHandover(ctx, n.handoverDir)
 		if previous != nil {
 			n.listUnconfirmed.Store(true)
 		}
 	}
 	if p := n.loop.persistence; p != nil {
-		if !p.open(n, previous != nil) {
+		if !p.open(ctx, n, previous != nil) {
 			running.Go(func() { p.openWhenUnlocked(runCtx) })
 		}
 		running.Go(func() { <-n.loop.ended; p.close() })
--- a/internal/node/openstreams.go
+++ b/internal/node/openstreams.go
@@ -95,6 +95,17 @@
 	return len(o.open)
 }
 
+// conns returns the connections of the open streams.
+func (o *openStreams) conns() map[*clientConn]struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	conns := make(map[*clientConn]struct{}, len(o.open))
+	for s := range o.open {
+		conns[s.conn] = struct{}{}
+	}
+	return conns
+}
+
 // log writes a log line for each open stream, maxLoggedStreams at most.
 func (o *openStreams) log(message string) {
 	o.mu.Lock()
--- a/internal/node/persistence.go
+++ b/internal/node/persistence.go
@@ -87,15 +87,17 @@
 }
 
 // open locks the folder and restores the stored state, unless another process has handed over its state. It must be
-// called before the loop runs. It waits at most openTimeout for the disk. It returns false if another process uses the
+// called before the loop runs. It waits at most openTimeout, and until ctx ends, for the disk. It returns false if another process uses the
 // folder.
-func (p *persistence) open(n *Node, handedOver bool) bool {
+func (p *persistence) open(ctx context.Context, n *Node, handedOver bool) bool {
 	folder, err := store.Open(p.disk, p.dir, p.nodeName)
 	if err != nil {
 		slog.Warn("state: opening the folder failed, state is not persisted", "error", err)
 		_, inUse := errors.AsType[*store.InUseError](err)
 		return !inUse
 	}
+	timeout, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
 	read := make(chan *store.State, 1)
 	go func() { read <- p.read(folder) }() // ends when the disk responds
 	select {
@@ -104,7 +106,7 @@
 			p.restore(n, stored)
 		}
 		p.startPersister(folder, stored)
-	case <-time.After(openTimeout):
+	case <-timeout.Done():
 		slog.Warn("state: disk does not respond, starting without stored state; persisting starts once it responds", "dir", p.dir)
 		go func() { // ends when the disk responds
 			if stored := <-read; !p.loop.post(func() { p.startPersister(folder, stored) }) {
