Write the log without waiting for whoever reads it

What callers saw: with the pipe of the log full, a request had no response: its connection was closed when the process had to end; everything that logs stood still before, the drain too. Cause: slog wrote to standard error in the goroutine of whoever logged: the event loop, the goroutines of requests, the drain. Change: a goroutine of its own writes the log (internal/logging). 64 KiB at most wait; further lines are dropped and counted in the log. The end of the program waits 0.1 s at most for the last lines.

--- a/cmd/edgenode/lateshutdown_test.go
+++ b/cmd/edgenode/lateshutdown_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,24 +19,27 @@
 )
 
 const (
-	lateClients       = 14
-	lateServers       = 3
-	lateAtOnce        = 4                      // processes at a time
-	lateFrom          = 700 * time.Millisecond // time after SIGTERM from which a request counts as late
-	maxKillDeadline   = 3 * time.Second        // longest deadline that the time of SIGKILL goes by
-	requestStartAfter = 200 * time.Millisecond // between the clients' connections and SIGTERM
+	lateClients     = 14
+	lateServers     = 3
+	lateAtOnce      = 4                      // processes at a time
+	lateFrom        = 700 * time.Millisecond // time after SIGTERM from which a request counts as late
+	maxKillDeadline = 3 * time.Second        // longest deadline that the time of SIGKILL goes by
+	// idleCloseBeforeKill is the time before the earliest kill until which idle connections stay open, with some slack.
+	idleCloseBeforeKill = 1700 * time.Millisecond
+	requestStartAfter   = 200 * time.Millisecond // between the clients' connections and SIGTERM
 )
 
 // lateShutdown is a shutdown of one process in which each client sends one request at its own moment until the kill.
 type lateShutdown struct {
-	deadline time.Duration // of both classes
-	serve    func(c *slowConn)
-	request  func(c *slowConn, id string, timeLeft time.Duration) // writes a request; nil writes a GET
-	readRate int                                                  // bytes a second that a client reads; 0 means as fast as it can
-	shared   bool                                                 // the clients' socket is inherited
-	before   func(p *program)                                     // called right before SIGTERM; nil means nothing
-	after    func(p *program)                                     // called in a goroutine of its own after SIGTERM; nil means nothing
-	env      []string
+	deadline  time.Duration // of both classes
+	serve     func(c *slowConn)
+	request   func(c *slowConn, id string, timeLeft time.Duration) // writes a request; nil writes a GET
+	readRate  int                                                  // bytes a second that a client reads; 0 means as fast as it can
+	shared    bool                                                 // the clients' socket is inherited
+	before    func(p *program)                                     // called right before SIGTERM; nil means nothing
+	after     func(p *program)                                     // called in a goroutine of its own after SIGTERM; nil means nothing
+	unreadLog bool                                                 // nobody reads the process's log once it is ready
+	env       []string
 }
 
 // killAfter returns the earliest time of SIGKILL after SIGTERM.
@@ -124,10 +128,11 @@
 	}
 }
 
-// lateResults are the late requests of a shutdown that did not get a whole response.
+// lateResults are the requests of a shutdown that did not get a whole response.
 type lateResults struct {
-	lost   []string // without an end at the kill
-	cutOff []string // with a part of a response
+	lost   []string // late ones without an end at the kill
+	cutOff []string // late ones with a part of a response
+	closed []string // ones with no response whose connection was not idle when it was closed
 }
 
 // play shuts a process down and kills it at the earliest moment.
@@ -147,7 +152,11 @@
 		socket = clientSocket(t)
 	}
 	p := startBinary(t, edgenodeBinary(t), writeDeadlineConfig(t, s.deadline), startDiscoveryOf(t, servers), socket, append(s.env, "TMPDIR="+t.TempDir())...)
-	drainLog(p)
+	if s.unreadLog {
+		fillLog(p)
+	} else {
+		drainLog(p)
+	}
 	var conns []*slowConn
 	for range lateClients {
 		conns = append(conns, newSlowConn(dialProgram(t, p), ended))
@@ -185,7 +194,10 @@
 	defer l.mu.Unlock()
 	text := fmt.Sprint("sent ", l.sentAt.Sub(sigterm).Round(time.Millisecond), " after SIGTERM")
 	switch {
-	case l.sentAt.IsZero() || l.sentAt.Sub(sigterm) <= lateFrom:
+	case l.sentAt.IsZero():
+	case l.sentAt.Before(killAt.Add(-idleCloseBeforeKill)) && !l.endedAt.IsZero() && !l.endedAt.After(killAt) && !l.hasStatus():
+		results.closed = append(results.closed, text+": "+l.result)
+	case l.sentAt.Sub(sigterm) <= lateFrom:
 	case l.endedAt.IsZero() || l.endedAt.After(killAt):
 		results.lost = append(results.lost, text)
 	case strings.HasPrefix(l.result, "200 after"):
@@ -193,6 +205,12 @@
 	}
 }
 
+// hasStatus reports whether the client got at least the status of a response.
+func (l *lateClient) hasStatus() bool {
+	_, err := strconv.Atoi(strings.SplitN(l.result, " ", 2)[0])
+	return err == nil
+}
+
 // log logs what became of a request.
 func (l *lateClient) log(t *testing.T, number int, sigterm time.Time) {
 	l.mu.Lock()
@@ -261,7 +279,9 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			assert.Empty(t, s.play(t).lost, "late requests without an end at the kill")
+			results := s.play(t)
+			assert.Empty(t, results.lost, "late requests without an end at the kill")
+			assert.Empty(t, results.closed, "requests without a response")
 		})
 	}
 	for name, serve := range endlessServers {
@@ -294,3 +314,18 @@
 		}
 	}
 }
+
+// Guards against a shutdown that waits for whoever reads the process's log: with the pipe of the log full, requests end as ever.
+func TestLateRequestsEndBeforeTheKillWhileNobodyReadsTheLog(t *testing.T) {
+	results := lateShutdown{deadline: 2 * time.Second, serve: hold, unreadLog: true}.play(t)
+	assert.Empty(t, results.lost, "late requests without an end at the kill")
+	assert.Empty(t, results.closed, "requests without a response")
+}
+
+// fillLog makes a process fill the pipe of its log.
+func fillLog(p *program) {
+	for range 3000 { // each writes a line of some 70 bytes, and a pipe holds 64 KiB
+		p.signal(syscall.SIGHUP)
+		time.Sleep(500 * time.Microsecond)
+	}
+}
--- a/cmd/edgenode/main.go
+++ b/cmd/edgenode/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"log"
 	"log/slog"
 	"math"
 	"os"
@@ -17,16 +18,20 @@
 	"time"
 
 	"sloestile/internal/config"
+	"sloestile/internal/logging"
 	"sloestile/internal/node"
 )
 
 const (
-	gcPercent          = 400 // heap growth in percent between collections; high because CPU is scarcer than memory
-	heapMemoryFraction = 0.6 // fraction of the memory limit that the Go runtime may use
+	gcPercent          = 400                    // heap growth in percent between collections; high because CPU is scarcer than memory
+	logFlushTimeout    = 100 * time.Millisecond // time for the last lines of the log
+	heapMemoryFraction = 0.6                    // fraction of the memory limit that the Go runtime may use
 )
 
 func main() {
 	ctx := terminationContext()
+	logWriter := logging.NewWriter(os.Stderr)
+	log.SetOutput(logWriter) // that of slog too
 	// The default action of SIGHUP ends the program, so it is caught at all times, also while the node starts or
 	// drains.
 	hup := make(chan os.Signal, 1)
@@ -45,8 +50,10 @@
 	}
 	if err := run(ctx, hup, *fleet); err != nil {
 		slog.Error("edgenode failed", "error", err)
+		logWriter.Flush(logFlushTimeout)
 		os.Exit(1)
 	}
+	logWriter.Flush(logFlushTimeout)
 }
 
 // terminationContext returns a context that ends at the first SIGTERM or interrupt. The signals stay caught until the
