--- a/cmd/edgenode/lateshutdown_test.go
+++ b/cmd/edgenode/lateshutdown_test.go
@@ -21,7 +21,7 @@
 const (
 	lateClients     = 14
 	lateServers     = 3
-	lateAtOnce      = 4                      // processes at a time
+	lateAtOnce      = 10                     // processes at a time
 	lateFrom        = 700 * time.Millisecond // time after SIGTERM from which a request counts as late
 	maxKillDeadline = 3 * time.Second        // longest deadline that the time of SIGKILL goes by
 	// idleCloseBeforeKill is the time before the earliest kill until which idle connections stay open, with some slack.
@@ -122,8 +122,8 @@
 
 // lateGet writes a request without a body.
 func lateGet(c *slowConn, id string, timeLeft time.Duration) {
-	fmt.Fprintf(c, "GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: %s\r\nX-Tariff: enterprise\r\nX-Time-Left: %dm\r\n\r\n",
-		id, timeLeft.Milliseconds())
+	fmt.Fprintf(c, "GET /roster-read?account=00000000b4d65521 HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: %s\r\nX-Tariff: enterprise\r\n"+
+		"X-Time-Left: %dm\r\n\r\n", id, timeLeft.Milliseconds())
 }
 
 // latePost returns a request with a body.
@@ -165,7 +165,8 @@
 	if s.bin == "" {
 		s.bin = edgenodeBinary(t)
 	}
-	p := startBinary(t, s.bin, writeDeadlineConfigWith(t, s.deadline, s.sockets), startDiscoveryOf(t, servers), socket, append(s.env, "TMPDIR="+t.TempDir())...)
+	config := writeDeadlineConfigWith(t, s.deadline, s.sockets)
+	p := startBinary(t, s.bin, config, startDiscoveryOf(t, servers), socket, append(s.env, "TMPDIR="+t.TempDir())...)
 	if s.unreadLog {
 		fillLog(p)
 	} else {
--- a/cmd/edgenode/shutdownsoakclient_test.go
+++ b/cmd/edgenode/shutdownsoakclient_test.go
@@ -328,6 +328,8 @@
 		}
 	}
 	assert.Greater(run.t, answered, run.clients, "seed %d: the run proves nothing", run.seed)
-	run.t.Logf("deadline %v, %d servers, %d clients, crowd %d, throttled %v, shared %v, ordered %v, endless %d%%: %d requests, %d late, %d answered, %d cut off, %d not read",
-		run.deadline, run.servers, run.clients, run.crowd, run.throttle, run.shared, run.ordered, run.endless, len(run.records), late, answered, cutOff, unread)
+	run.t.Logf("deadline %v, %d servers, %d clients, crowd %d, throttled %v, shared %v, ordered %v, endless %d%%: "+
+		"%d requests, %d late, %d answered, %d cut off, %d not read",
+		run.deadline, run.servers, run.clients, run.crowd, run.throttle, run.shared, run.ordered, run.endless,
+		len(run.records), late, answered, cutOff, unread)
 }
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -11,7 +11,7 @@
 //     and serverresponses.go reads the response, serverconns.go keeps idle connections, endpoints.go maps the endpoint
 //     list to servers.
 //   - Calls of operators: console.go, zones.go, consensuscalls.go, consensusstatus.go; metrics.go writes the metrics.
-//   - Lifecycle: drain.go, handover.go (to the next process), persistence.go (stored state), discovery.go and
+//   - Lifecycle: drain.go, shutdown.go and openstreams.go (what ends when), handover.go (to the next process), persistence.go (stored state), discovery.go and
 //     degradeddiscovery.go (watch of the endpoint list, and what to do while the list is stale).
 //   - Features that a fleet file enables: peering.go (membership), limitsharing.go (shared token buckets and outlier
 //     reports), stragglers.go, zones.go, consensus.go (rule versions), subset.go.
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -153,12 +153,12 @@
 	return min(longest, maxDrainDeadline) + drainMargin
 }
 
-// drain drains the node at shutdown; its times count from the signal. Clients detect the drain by /healthz but may still use their open connections, and
-// if another node restarts at the same time, some tenants have no other node. So the node first serves as before; then
-// each response closes its connection, and drain returns once all requests are answered. Late requests end with the drain,
-// whether or not their responses are whole. The loop ends before the streamed responses to earlier ones do, so that a successor need not wait for its share of the quotas. If another process shares the
-// listening socket, that process gets all new connections: this one stops accepting and closes connections with their
-// next response from the start.
+// drain drains the node at shutdown; its times count from the signal. Clients detect the drain by /healthz but may still use
+// their open connections, and if another node restarts at the same time, some tenants have no other node. So the node first
+// serves as before; then each response closes its connection, and drain returns once all requests are answered. Late requests
+// end with the drain, whether or not their responses are whole. The loop ends before the streamed responses to earlier ones
+// do, so that a successor need not wait for its share of the quotas. If another process shares the listening socket, that
+// process gets all new connections: this one stops accepting and closes connections with their next response from the start.
 func (n *Node) drain(signaledAt time.Time, stopLoop context.CancelFunc) error {
 	until := func(afterSignal time.Duration) time.Duration { return max(time.Until(signaledAt.Add(afterSignal)), 0) }
 	closeDelay := max(n.drainTimeout-drainClosePeriod, 0)
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -88,8 +88,8 @@
 	return f
 }
 
-// stop completes the open requests, also while the loop is busy, and ends the streamed responses to late ones.
-// Further calls have no effect.
+// stop completes the open requests, also while the loop is busy, and ends the streamed responses to late ones. Further calls
+// have no effect.
 func (f *frontend) stop() {
 	f.stopOnce.Do(func() {
 		close(f.stopped)
