Shutdown soak: count an attempt once its last byte has arrived, as by the protocol

Cause: since the soak has bodies, the stand-in server counted an attempt at its header. PROTOCOL: an attempt counts once its last byte has arrived. Requests without a body are counted as before; the time of an attempt is still that of its header.

--- a/cmd/edgenode/shutdownsoakclient_test.go
+++ b/cmd/edgenode/shutdownsoakclient_test.go
@@ -190,12 +190,15 @@
 func (run *soakRun) serveAttempt(w http.ResponseWriter, q *http.Request) {
 	ms, _ := strconv.Atoi(strings.TrimSuffix(q.Header.Get("X-Time-Left"), "m"))
 	id := q.Header.Get("X-Correlation-Id")
+	at := time.Now()
+	if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		return // by the protocol an attempt counts once its last byte has arrived
+	}
 	run.mu.Lock()
 	if r := run.requests[id]; r != nil {
-		r.attempts = append(r.attempts, soakAttempt{time.Now(), time.Duration(ms) * time.Millisecond})
+		r.attempts = append(r.attempts, soakAttempt{at, time.Duration(ms) * time.Millisecond})
 	}
 	run.mu.Unlock()
-	_, _ = io.Copy(io.Discard, q.Body)
 	if rand.IntN(100) < run.endless {
 		serveEndless(w, q)
 		return
